--- /dev/null
+++ b/cottonhall/interface.py
@@ -0,0 +1,268 @@
+"""What the decision module is told and what it answers: settings, events and actions.
+
+``Policy(settings, seed).handle(now, event)`` takes one event and returns a list of actions, which the
+caller carries out in that order. All times are milliseconds on one clock that only goes forward; nothing
+is said about where it starts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Effect(Enum):
+    """What repeating a request of a class does."""
+
+    SAFE = "safe"  # may run any number of times
+    KEYED = "keyed"  # a group of servers drops repeats for a while
+    UNSAFE = "unsafe"  # must never run twice
+
+
+class Group(Enum):
+    """The servers that drop each other's repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(IntEnum):
+    """What the list says of a server."""
+
+    READY = 0
+    GONE = 1
+    DRAINING = 2
+
+
+class ListKind(IntEnum):
+    """How a server list came."""
+
+    DELTA = 0  # changed entries only
+    FULL = 1  # the whole list; who is missing is gone
+    CACHED = 2  # the whole list as it was held before a restart
+    FAILED = 3  # a call failed or the subscription broke; the old list stays in force
+
+
+class Result(IntEnum):
+    """How an attempt ended."""
+
+    OK = 1
+    ERROR = 2
+    FULL = 3
+    TIMEOUT = 4
+    UNREACHABLE = 5
+    RESET = 6
+    CANCELLED = 7
+    NOT_SENT = 8
+
+
+NEVER_RAN = frozenset({Result.FULL, Result.UNREACHABLE, Result.NOT_SENT})  # these results prove it
+MAY_RUN_ON = frozenset({Result.TIMEOUT, Result.RESET, Result.CANCELLED})  # the attempt may be at work still
+
+
+def _need(ok: bool, name: str, value: object) -> None:
+    if not ok:
+        raise ValueError(f"settings: {name} can't be {value!r}")
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    """A class of requests: its wanted time, its worth, and what a repeat does."""
+
+    aim: float
+    deadline: float
+    worth: float
+    effect: Effect
+    group: Group = Group.ALL
+    window: float = 0.0  # keyed: how long repeats are dropped, from the first send that may have run
+    late_value: float = 0.0  # share of the worth left after the aim
+    in_order: bool = False  # requests of such classes that share a key run one at a time, as they came
+
+    def __post_init__(self) -> None:
+        _need(self.aim > 0, "classes[].aim", self.aim)
+        _need(self.deadline > 0, "classes[].deadline", self.deadline)
+        _need(self.worth >= 0, "classes[].worth", self.worth)
+        _need(self.window >= 0, "classes[].window", self.window)
+        _need(0 <= self.late_value <= 1, "classes[].late_value", self.late_value)
+        _need(isinstance(self.effect, Effect), "classes[].effect", self.effect)
+        _need(isinstance(self.group, Group), "classes[].group", self.group)
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """What a node knows at its start."""
+
+    classes: tuple[RequestClass, ...]
+    zone: int = 0  # this node's own zone
+    group_size: int = 1  # nodes of this tier
+    me: int = 0  # this node's number among them
+    quotas: tuple[float, ...] = ()  # per tenant: requests a second, over all nodes
+    over_quota_worth: float = 1.0
+    warm_keys: bool = False  # a server that met a key lately serves it with less work
+    ask_for_list: bool = False  # the list comes only when asked for
+    ask_within: float = 10000.0
+    tick: float = 1.0
+    may_cancel: bool = False
+    max_attempts: int = 1
+    max_retry_after: float = 0.0  # 0: clients are told nothing
+    full_may_have_run: bool = False  # servers answer 'full' also to work that they had begun
+    key_rest: float = 0.0  # in order: how long a key rests after an attempt that may be running still
+    cold_from: float = 1.0  # a server starts with this share of its capacity or more
+    ramp_time: float = 0.0
+
+    def __post_init__(self) -> None:
+        _need(len(self.classes) > 0, "classes", self.classes)
+        _need(self.group_size >= 1, "group_size", self.group_size)
+        _need(self.max_attempts >= 1, "max_attempts", self.max_attempts)
+        _need(0 < self.cold_from <= 1, "cold_from", self.cold_from)
+        _need(0 <= self.over_quota_worth <= 1, "over_quota_worth", self.over_quota_worth)
+        _need(self.tick > 0, "tick", self.tick)
+        for name in (
+            "ask_within",
+            "ramp_time",
+            "max_retry_after",
+            "key_rest",
+        ):
+            _need(getattr(self, name) >= 0, name, getattr(self, name))
+        for quota in self.quotas:
+            _need(quota >= 0, "quotas[]", quota)
+
+
+@dataclass(slots=True, frozen=True)
+class ServerEntry:
+    """One line of the server list."""
+
+    id: int
+    zone: int
+    kind: int
+    cell: int
+    state: State
+    size: float  # compared with other servers' only
+    started: float  # 0: long ago
+
+
+# Events: what the module is told.
+
+
+@dataclass(slots=True)
+class ServerList:
+    kind: ListKind
+    version: int
+    servers: list[ServerEntry]
+
+
+@dataclass(slots=True)
+class Request:
+    id: int
+    cls: int
+    due: float  # clock time at which the client gives up on this try
+    key: int = 0  # 0: none
+    tenant: int = 0
+    hint: float = 0.0  # expected work, 0: unknown
+    repeat: bool = False  # marked by the client as its retry
+
+
+@dataclass(slots=True)
+class Began:
+    """The answer of a streamed class has begun; its deadline no longer runs."""
+
+    id: int
+    attempt: int
+    server: int
+    elapsed: float
+
+
+@dataclass(slots=True)
+class Outcome:
+    id: int
+    server: int
+    over: bool  # the request is over, by this outcome or before it
+    result: int
+    attempt: int
+    elapsed: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class ProbeResult:
+    server: int
+    result: int
+    elapsed: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class Timer:
+    token: int
+
+
+@dataclass(slots=True)
+class PeerMessage:
+    sender: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    """The client has left; nothing more is owed."""
+
+    id: int
+
+
+Event = ServerList | Request | Began | Outcome | ProbeResult | Timer | PeerMessage | Withdrawn
+
+
+# Actions: what the module decides.
+
+
+@dataclass(slots=True)
+class Send:
+    id: int
+    server: int
+    limit: float  # time-out of this attempt
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: not run, trying again does no harm."""
+
+    id: int
+    wait: float  # how long the client should stay away; 0: no advice
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: failed, nothing promised."""
+
+    id: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    id: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Wake:
+    delay: float
+    token: int
+
+
+@dataclass(slots=True)
+class Probe:
+    server: int
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """Ask for the server list and for its changes from now on."""
+
+
+@dataclass(slots=True)
+class Log:
+    text: str
+
+
+Action = Send | Refuse | Fail | Cancel | Wake | Probe | Subscribe | Log
--- /dev/null
+++ b/cottonhall/rules.py
@@ -0,0 +1,512 @@
+"""Every decision of the balancer. Its types, events and actions are in cottonhall/interface.py.
+
+A request is scored by worth on arrival. Under measured overload x those scored below 100 * x**3 are refused;
+the rest go to a random idle-looking server of a small draw, else to the lighter of two.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect, insort
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+from cottonhall.interface import (
+    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Effect, Event, Fail, Group, ListKind, Log, Outcome, Refuse,
+    Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Withdrawn,
+)  # fmt: skip
+
+UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
+SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
+ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
+IN_FLIGHT_FROM, IN_FLIGHT_FULL = 0.9, 1.4  # overload begins and is 1 at these multiples of a fleet's need
+ERROR_TIME, REACH = 4000.0, 33.0  # the error share looks back over so many ms and so many attempts
+PRIOR = 4.0  # attempts taken as good beside those seen: a few that fail by chance are no overload
+RATE_TIME, BEST_TIME = 2000.0, 20000.0  # ms to average the rate of timely answers, and to forget its best
+SAMPLE = 60.0  # their mean time reaches back over this many, or over RATE_TIME if that is more
+LEAST_TIME = 100000.0  # ms in which the quickest mean time would double: it can follow slower work
+QUICK = 1.3  # answers are quick while their mean time is under this multiple of the quickest
+MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails
+SETTLE = 4000.0  # ms to average in-flight over, divided by the need
+DRAW = 6  # servers looked at for an idle one
+IDLE = 1.15  # a server of usual pace counts as idle while what it had and holds of ours weighs under this
+SPREAD = 2.0  # servers that share a key, for each mean server's worth of traffic that it draws
+SUSPECT_AT = 0.4  # recent failures of a server, over twice those of all, above which it rests
+RING_POINTS = 16  # places of a server on the key ring: evens out the shares
+REST = 2000.0  # ms a suspect rests before one trial
+MAX_RESTING = 0.34  # never rest more servers than this part of our stretch: then the trouble is shared
+SPARSE = 0.2  # requests a server below which a node's own hold tells too little of the whole fleet
+NODES = 6  # nodes that then share a stretch: fewer know more of its servers, but its keys are colder
+FEW = 8  # servers in a stretch at least: enough to tell good from bad
+STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
+COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
+SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
+MASK = (1 << 64) - 1
+
+
+def mix(x: int) -> int:
+    """Scatter a number over 64 bits; the same at every node."""
+    x = (x ^ (x >> 31)) * 0x9E3779B97F4A7C15 & MASK
+    x = (x ^ (x >> 29)) * 0xBF58476D1CE4E5B9 & MASK
+    return x ^ (x >> 32)
+
+
+@dataclass(slots=True)
+class Health:
+    """How a server treats one class."""
+
+    fails: float = 0.0  # recent share of failures
+    rest_until: float = 0.0  # not before then; 0: no suspect
+    strikes: int = 0  # rests lately
+
+
+@dataclass(slots=True)
+class Server:
+    """What this node knows of a server: the list's line and what its own attempts showed."""
+
+    entry: ServerEntry
+    tokens: float  # while cold: attempts it may get; a random start keeps nodes out of step
+    tokens_at: float
+    health: list[Health]  # by class
+    open: dict[tuple[int, int], tuple[Job, float]] = field(default_factory=dict)  # until when not overdue
+    recent: float = 0.0  # our recent attempts, decayed
+    slow: float = 1.0  # its answers' time over the usual for their class and its kind
+
+
+@dataclass(slots=True, eq=False)
+class Turn:
+    """The requests of one key that take turns, and what keeps the next of them waiting."""
+
+    line: list[Job] = field(default_factory=list)  # unfinished ones in order of arrival
+    out: int = 0  # attempts without an outcome, those of finished requests included
+    rest_until: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request that is owed an answer; its attempts keep it until their outcomes."""
+
+    request: Request
+    since: float
+    score: float
+    turn: Turn | None = None
+    tries: int = 0
+    out: set[int] = field(default_factory=set)  # numbers of its attempts without an outcome
+    maybe_ran: dict[int, tuple[float, ServerEntry]] = field(default_factory=dict)  # sends that may have run
+    used: list[int] = field(default_factory=list)  # servers tried
+
+
+class Policy:
+    """One node's decisions. Shares nothing with other instances; random numbers come from the seed."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.servers: dict[int, Server] = {}
+        self.ready: list[int] = []  # in the order of their hashes, the same at every node
+        self.start, self.span = 0, 1  # our stretch of the fleet
+        self.ours: list[int] = []  # its servers
+        self.ring: list[tuple[int, int]] = []  # places of its servers
+        self.jobs: dict[int, Job] = {}
+        n = len(settings.classes)
+        self.worths = [c.worth * w for w in (1.0, settings.over_quota_worth) for c in settings.classes]
+        self.usual = [c.aim / 4 for c in settings.classes]  # learned answer time by class
+        self.offered = [1e-9] * (2 * n)  # recent requests, like worths: by class, then by class beyond quota
+        self.bands: list[tuple[float, float]] = [(0.0, 100.0)] * (2 * n)
+        self.quota_used = [0.0] * len(settings.quotas)
+        self.key_counts: dict[int, float] = {}
+        self.keys_total = self.total_recent = 1e-9  # recent requests with a key, recent attempts
+        self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
+        self.errors = 0.0  # their share that failed
+        self.flying, self.in_flight, self.need = 0, 0.0, 1.0  # open attempts: now, averaged, when busy
+        self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
+        self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
+        self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
+        self.carried = 0.0  # timely answers a ms and warm server, at best
+        self.x, self.cut, self.shedding = 0.0, 0.0, False
+        self.upkeep_at = self.halved_at = self.now = 0.0
+        self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
+        self.warm = self.sized = self.strongest = self.mean_strength = 1.0
+        self.ask_backoff = settings.ask_within / 40
+        self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
+        self.turns: dict[int, Turn] = {}  # by key
+        self.moved: list[Turn] = []  # where the next may have its turn
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.now = now
+        self.out: list[Action] = []
+        if isinstance(event, Request):
+            self.on_request(event)
+        elif isinstance(event, Outcome):
+            self.on_outcome(event)
+        elif isinstance(event, ServerList):
+            self.on_list(event)
+        elif isinstance(event, Withdrawn):
+            self.finish(event.id)
+        elif isinstance(event, Timer):
+            if event.token == SUBSCRIBE:
+                self.out.append(Subscribe())
+            elif (held := self.jobs.get(event.token)) is not None and not held.tries:
+                self.attempt(held)
+        while self.moved:
+            turn = self.moved.pop()
+            if turn.line and not turn.line[0].tries:
+                self.attempt(turn.line[0])
+        return self.out
+
+    # Requests in: score, cut, first attempt.
+
+    def on_request(self, request: Request) -> None:
+        if self.now - self.upkeep_at >= UPKEEP:
+            self.upkeep()
+        settings, group, tenant = self.settings, request.cls, request.tenant
+        if not 0 <= group < len(settings.classes):
+            raise LookupError(f"a request names class {group}, which the settings do not have")
+        if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
+            if not 0 <= tenant < len(settings.quotas):
+                raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
+            if self.quota_used[tenant] > settings.quotas[tenant] / settings.group_size:
+                group += len(settings.classes)
+            else:
+                self.quota_used[tenant] += 1
+        self.offered[group] += 1
+        if request.key and settings.warm_keys:
+            self.key_counts[request.key] = self.key_counts.get(request.key, 0.0) + 1
+            self.keys_total += 1
+        score = self.bands[group][0] + self.bands[group][1] * self.random.random()
+        if score < self.cut:
+            self.out.append(Refuse(request.id, self.refuse_wait(score)))
+            return
+        job = self.jobs[request.id] = Job(request, self.now, score)
+        if request.key and settings.classes[request.cls].in_order:
+            job.turn = self.turns.setdefault(request.key, Turn())
+            job.turn.line.append(job)
+        self.attempt(job)
+
+    def upkeep(self) -> None:
+        passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP
+        self.upkeep_at = self.now
+        leak = passed / 1000 / self.settings.group_size
+        used = zip(self.quota_used, self.settings.quotas, strict=True)
+        self.quota_used = [max(0.0, count - quota * leak) for count, quota in used]
+        if self.now - self.halved_at >= SHARE_HALF:
+            self.halved_at = self.now
+            self.offered = [x / 2 for x in self.offered]
+            self.keys_total /= 2
+            self.key_counts = {k: c / 2 for k, c in self.key_counts.items() if c > 0.5}
+            self.total_recent /= 2
+            self.turns = {k: t for k, t in self.turns.items() if t.line or t.out or t.rest_until > self.now}
+            for server in self.servers.values():
+                server.recent /= 2
+                server.slow = (1 + server.slow) / 2
+            self.measure_fleet()
+        self.set_bands()
+        self.set_cut(passed)
+
+    def set_bands(self) -> None:
+        """Scores: groups in order of worth, as wide as their share of offered worth; equals share a band."""
+        offered = [(w, w * count) for w, count in zip(self.worths, self.offered, strict=True)]
+        total = sum(value for _, value in offered) or 1.0
+        for i, worth in enumerate(self.worths):
+            low = sum(value for w, value in offered if w < worth)
+            same = sum(value for w, value in offered if w == worth)
+            self.bands[i] = (100.0 * low / total, 100.0 * same / total)
+
+    # Overload: how far errors and requests in flight are past their thresholds.
+
+    def set_cut(self, passed: float) -> None:
+        # Of few requests held most is chance: then it looks at a longer time.
+        settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP)
+        self.in_flight += (self.flying - self.in_flight) * min(1.0, passed / settle)
+        keep = 1 - min(0.5, passed / ERROR_TIME)  # so that a full stop is not for ever
+        self.failed, self.seen = self.failed * keep, self.seen * keep
+        self.errors = self.failed / (self.seen + PRIOR)
+        self.learn_need(passed)
+        x = (self.errors - ERRORS_FROM) / (ERRORS_FULL - ERRORS_FROM)
+        x = max(x, (self.in_flight / self.need - IN_FLIGHT_FROM) / (IN_FLIGHT_FULL - IN_FLIGHT_FROM))
+        self.x = min(max(x, 0.0), 1.0)
+        self.cut = 100.0 * self.x**3
+        if self.shedding != (self.cut > (1.0 if self.shedding else 25.0)):
+            self.shedding = not self.shedding
+            state = f"errors {self.errors:.2f}, in flight {self.in_flight:.1f} of {self.need:.1f}"
+            self.out.append(Log(f"shedding {'on' if self.shedding else 'off'}: x {self.x:.2f}, {state}"))
+
+    def learn_need(self, passed: float) -> None:
+        """What a busy fleet needs in flight: its best rate of timely answers times their quickest time."""
+        calm = self.errors < ERRORS_FROM / 2
+        self.age = min(self.age + passed, RATE_TIME)  # a young node has no more to average over
+        self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
+        self.best_rate = max(self.best_rate * (1 - passed / BEST_TIME), self.rate)
+        self.carried = max(self.carried * (1 - passed / BEST_TIME), self.rate / self.warm)
+        self.met = 0
+        if self.answers >= SAMPLE / 5:
+            self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
+            # Growing traffic is in flight before it is answered; few answers would show slowness too late.
+            if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2:
+                self.best_rate = max(self.best_rate, self.in_flight / self.least)
+        margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
+        self.need = max(self.sized, margin * self.best_rate * self.least)
+        self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
+
+    def refuse_wait(self, score: float) -> float:
+        """The lower the score the longer the wait; jitter keeps retries from coming due together."""
+        return self.settings.max_retry_after * (1.0 - score / 100.0) * (0.9 + 0.1 * self.random.random())
+
+    # Picking a server.
+
+    def attempt(self, job: Job) -> None:
+        """Send the request to a server, hold it for its turn, or end it if none can serve it in time."""
+        request, cls = job.request, self.settings.classes[job.request.cls]
+        usual, turn = self.usual[request.cls], job.turn
+        # An answer after the aim may be worth nothing: then nothing is gained by waiting longer.
+        end = request.due if cls.late_value else min(request.due, job.since + cls.aim)
+        # A line that can't be served in time is refused at its end, not held until its deadline.
+        ahead = turn.line.index(job) if turn else 0
+        latest = end - max((0.5 + ahead) * usual, request.hint, 2 * self.settings.tick)
+        timely = job.tries < self.settings.max_attempts and latest > self.now
+        if timely and turn and not job.tries and (ahead or turn.out or turn.rest_until > self.now):
+            until = latest if ahead or turn.out else min(latest, turn.rest_until)
+            self.out.append(Wake(until - self.now, request.id))
+            return
+        if not timely or (server := self.pick(job)) is None:
+            self.end(job)
+            return
+        job.out.add(job.tries)
+        job.maybe_ran[job.tries] = (self.now, server.entry)
+        job.used.append(server.entry.id)
+        server.open[(request.id, job.tries)] = job, self.now + STALL * usual
+        if turn:
+            turn.out += 1
+        job.tries += 1
+        self.flying += 1
+        server.recent += 1
+        self.total_recent += 1
+        self.out.append(Send(request.id, server.entry.id, end - self.now))
+
+    def pick(self, job: Job) -> Server | None:
+        """A random idle-looking server of a small draw, else the lighter of two."""
+        lighter, least, seen = None, 0.0, 0
+        mean = self.total_recent / self.span
+        for server_id in self.draw(job.request.key):
+            server = self.servers[server_id]
+            health = server.health[job.request.cls]
+            fit = self.usable(server, health) and self.allowed(job, server) and server_id not in job.used
+            if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
+                continue
+            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
+            load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
+            seen += 1
+            if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
+                lighter, least = server, load
+            if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
+                break  # the search for an idle one goes on in a stretch only, where a node knows enough
+        if lighter is not None and self.cold_share(lighter) < 1.0:
+            lighter.tokens -= 1
+        return lighter
+
+    def draw(self, key: int) -> Iterator[int]:
+        """Server ids in the order to look at them."""
+        if key and self.settings.warm_keys and self.ready:
+            # Where servers remember keys, the key's own places come first; one that draws much has more.
+            places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
+            first = int(self.random.random() * places)
+            yield self.place(key, first)
+            yield self.place(key, (first + 1) % max(places, 2))
+        drawn = [self.ours[int(self.random.random() * self.span)] for _ in range(DRAW) if self.ours]
+        # Our zone's come first, of them likelier the stronger. If none fits: the stretch, then the fleet.
+        far = {i: self.servers[i].entry.zone != self.settings.zone for i in drawn}
+        chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
+        yield from sorted(drawn, key=lambda i: (far[i], chance[i]))
+        start = self.start + int(self.random.random() * self.span)
+        yield from self.ready[start:] + self.ready[:start]
+
+    def place(self, key: int, number: int) -> int:
+        """A key's place: the next point of the ring."""
+        spot = bisect(self.ring, (mix(key + number * 0x632BE59BD9B4E019 & MASK), 0))
+        return self.ring[spot % len(self.ring)][1]
+
+    def strength(self, server: Server) -> float:
+        """What a server can do by listed size and by the learned pace of its kind; the strongest: 1."""
+        return server.entry.size / self.kinds.get(server.entry.kind, 1.0) / self.strongest
+
+    def usable(self, server: Server, health: Health) -> bool:
+        if health.rest_until > self.now or (health.rest_until and server.open):
+            return False  # a suspect rests, then gets one attempt at a time until it proves itself
+        if any(overdue < self.now for _, overdue in server.open.values()):
+            return False  # hung or pausing, seen before any time-out
+        return self.cold_share(server) >= 1.0 or self.cold_token(server)
+
+    def cold_share(self, server: Server) -> float:
+        """What share of its work a server can surely do by its age."""
+        settings, age = self.settings, max(0.0, self.now - server.entry.started)
+        if not server.entry.started or age >= settings.ramp_time:
+            return 1.0
+        return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
+
+    def cold_token(self, server: Server) -> bool:
+        # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
+        # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
+        one = 1.0 / self.settings.group_size / max(self.usual)
+        rate = COLD_SHARE * self.cold_share(server) * max(self.carried, one) * len(self.ready) / self.span
+        server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
+        server.tokens_at = self.now
+        return server.tokens >= 1.0
+
+    def allowed(self, job: Job, server: Server) -> bool:
+        """Whether the class lets the request go to this server, given where it may have run already."""
+        cls = self.settings.classes[job.request.cls]
+        if not job.maybe_ran or cls.effect is not Effect.KEYED:
+            return not job.maybe_ran or cls.effect is Effect.SAFE
+        return all(
+            self.now - sent < cls.window - self.settings.tick
+            and (cls.group is not Group.ZONE or entry.zone == server.entry.zone)
+            and (cls.group is not Group.CELL or entry.cell == server.entry.cell)
+            for sent, entry in job.maybe_ran.values()
+        )
+
+    # Outcomes, further attempts and final answers.
+
+    def on_outcome(self, outcome: Outcome) -> None:
+        server = self.servers.get(outcome.server)
+        if server is None:
+            raise LookupError(f"an outcome names server {outcome.server}, which no list has named")
+        job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0))
+        if job is None:
+            return  # told twice
+        self.flying -= 1
+        self.note_end(job, outcome)
+        self.learn(server, outcome, job)
+        if outcome.over or outcome.id not in self.jobs:
+            self.finish(outcome.id)
+        elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
+            self.end(job)  # resending feeds a jam, also of connections being made
+        else:
+            self.attempt(job)
+
+    def note_end(self, job: Job, outcome: Outcome) -> None:
+        """What an attempt's end tells of whether its request ran, and whose turn is next."""
+        job.out.discard(outcome.attempt)
+        if outcome.result in self.never_ran:
+            job.maybe_ran.pop(outcome.attempt, None)
+        if job.turn is not None:
+            job.turn.out -= 1
+            if outcome.result in MAY_RUN_ON:
+                job.turn.rest_until = self.now + self.settings.key_rest
+            self.moved.append(job.turn)
+
+    def learn(self, server: Server, outcome: Outcome, job: Job) -> None:
+        """What an outcome tells of its server and of the fleet."""
+        result, cls = outcome.result, job.request.cls
+        if result in (Result.CANCELLED, Result.NOT_SENT):
+            return
+        bad, health = result != Result.OK, server.health[cls]
+        self.no_link += 0.1 * ((result == Result.UNREACHABLE) - self.no_link)
+        # What loads no server is no overload: no connection made, or an error sooner than the work takes.
+        weight = float(result != Result.UNREACHABLE)
+        if result == Result.ERROR:
+            weight = min(1.0, 0.5 * outcome.elapsed / self.usual[cls])
+        self.seen += 1.0 - self.seen / REACH
+        self.failed += weight * bad - self.failed / REACH
+        self.errors = self.failed / (self.seen + PRIOR)
+        if not bad:
+            self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
+        if not bad or result == Result.TIMEOUT:
+            # How slow against its class, then its kind: few samples of one server, many of its kind.
+            ratio = min(outcome.elapsed / self.usual[cls], 8.0)
+            kind = self.kinds.get(server.entry.kind, 1.0)
+            self.kinds[server.entry.kind] = kind + 0.005 * (ratio - kind)
+            server.slow += 0.4 * (ratio / kind - server.slow)
+        wanted = self.settings.classes[cls]
+        if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
+            self.met += 1
+            self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME))
+            self.mean += (outcome.elapsed - self.mean) / self.answers
+        if bad:
+            self.suspect(server, cls, result)
+        else:
+            health.fails *= 0.7
+            health.rest_until, health.strikes = 0.0, health.strikes // 2
+
+    def suspect(self, server: Server, cls: int, result: int) -> None:
+        """A failure: the server rests, for this class or for all, if it stands out."""
+        # It may fail one class only; silence tells of all. 'full' is load, but one that says nothing else, as
+        # before its drain is listed, would draw traffic by being quick; as no proof it costs the request.
+        gain, others = (0.3, 0.3) if result not in (Result.ERROR, Result.FULL) else (0.5, 0.1)
+        if result == Result.FULL and Result.FULL in self.never_ran:
+            gain, others = 0.1, 0.03
+        for other, health in enumerate(server.health):
+            health.fails += (gain if other == cls else others) * (1.0 - health.fails)
+            if health.fails > SUSPECT_AT + 2 * self.errors and health.rest_until <= self.now:
+                resting = sum(self.servers[i].health[other].rest_until > self.now for i in self.ours)
+                if resting < MAX_RESTING * self.span:
+                    rest = REST * 2 ** min(health.strikes, 4) * (0.75 + 0.5 * self.random.random())
+                    health.rest_until, health.strikes = self.now + rest, health.strikes + 1
+
+    def end(self, job: Job) -> None:
+        """The final answer without an open attempt: refused where that does no harm, else failed."""
+        cls = self.settings.classes[job.request.cls]
+        safe = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+        wait, number = self.refuse_wait(job.score), job.request.id
+        self.out.append(Refuse(number, wait) if safe or not job.maybe_ran else Fail(number))
+        self.finish(number)
+
+    def finish(self, job_id: int) -> None:
+        job = self.jobs.pop(job_id, None)
+        if job is not None and self.settings.may_cancel:
+            self.out.extend(Cancel(job_id, number) for number in sorted(job.out))
+        if job is not None and job.turn is not None:
+            job.turn.line.remove(job)
+            self.moved.append(job.turn)
+
+    # The server list.
+
+    def on_list(self, event: ServerList) -> None:
+        if self.settings.ask_for_list and event.kind in (ListKind.CACHED, ListKind.FAILED):
+            # Calls of many nodes would meet: the first is spread out, later ones back off with jitter.
+            self.out.append(Wake(self.ask_backoff * (0.2 + 0.8 * self.random.random()), SUBSCRIBE))
+            self.ask_backoff = min(2 * self.ask_backoff, self.settings.ask_within / 4)
+        if event.kind is ListKind.FAILED:
+            return
+        if event.kind is not ListKind.CACHED:
+            self.ask_backoff = self.settings.ask_within / 20
+        if event.kind is not ListKind.DELTA:
+            listed = {entry.id for entry in event.servers}
+            for server_id in [i for i in self.ready if i not in listed]:
+                self.note(replace(self.servers[server_id].entry, state=State.GONE))
+        for entry in event.servers:
+            self.note(entry)
+        self.measure_fleet()
+
+    def measure_fleet(self) -> None:
+        ready = [self.servers[i] for i in self.ready]
+        # Groups of a few nodes share a stretch of the fleet where each holds little: of few servers a node
+        # knows what they hold, and they accept only so many connections. A group places keys alike.
+        sparse = self.need < SPARSE * len(ready)
+        groups = max(1, min(self.settings.group_size // NODES, len(ready) // FEW)) if sparse else 1
+        group = self.settings.me * groups // self.settings.group_size
+        self.start = group * len(ready) // groups
+        self.span = max(1, (group + 1) * len(ready) // groups - self.start)
+        self.ours = self.ready[self.start : self.start + self.span]
+        self.warm = max(sum(map(self.cold_share, ready)), 1.0)  # servers, cold ones by what they can do
+        self.strongest *= max(map(self.strength, ready), default=1.0) or 1.0  # a list may give no sizes
+        size = sum(s.entry.size for s in ready) / max(1, len(ready))  # 1 serves one at once
+        self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
+        self.mean_strength = sum(map(self.strength, ready)) / max(1, len(ready))
+        points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
+        self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
+
+    def note(self, entry: ServerEntry) -> None:
+        """Take over one line of the list."""
+        old = self.servers.get(entry.id)
+        if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
+            health = [Health() for _ in self.usual]
+            self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
+            if old is not None:
+                self.servers[entry.id].open = old.open
+        was_ready = old is not None and old.entry.state is State.READY
+        self.servers[entry.id].entry = entry
+        if was_ready == (entry.state is State.READY):
+            return
+        if was_ready:
+            self.ready.remove(entry.id)
+        else:
+            insort(self.ready, entry.id, key=mix)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,17 @@
+"""The promises made of the module's text."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_module_stays_short_and_narrow() -> None:
+    lines = (ROOT / "cottonhall" / "rules.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 460
+    assert max(map(len, lines)) <= 110
+
+
+def test_module_names_its_interface_at_the_top() -> None:
+    assert "cottonhall/interface.py" in (ROOT / "cottonhall" / "rules.py").read_text().splitlines()[0]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,191 @@
+"""The wire against the frames printed in its description, and against malformed input."""
+
+from __future__ import annotations
+
+import json
+import struct
+
+import pytest
+
+from cottonhall.interface import (
+    Cancel,
+    Effect,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    Refuse,
+    Request,
+    Send,
+    ServerList,
+    State,
+    Subscribe,
+    Timer,
+    Wake,
+    Withdrawn,
+)
+from cottonhall.wire import Born, Decoder, Encoder, Killed, WireError, read_settings
+
+EVENTS = bytes.fromhex(
+    "0000000c 00000104 40c06e2000000000 00000005"
+    + "0c0003" + "00" * 45
+    + "03 000464905d3a91c4 0000 00000000 91f03b7c55d20a64 40c0e62000000000 4028000000000000 0001" + "00" * 7
+    + "07 000000000000004d" + "00" * 39
+    + "0c0005" + "00" * 45
+    + "06 000aa5520e6f2b19" + "00" * 39
+)  # fmt: skip
+ANSWER = bytes.fromhex(
+    "0000000c 00000095 00000005"
+    + "010003" + "00" * 21
+    + "08 000464905d3a91c4 03124a07 4054000000000000" + "00" * 3
+    + "07 407f400000000000 000000000000004d" + "00" * 7
+    + "010005" + "00" * 21
+    + "0a 00000000 00000011" + "00" * 15
+) + b"two servers known"  # fmt: skip
+LIST = bytes.fromhex(
+    "00000001 000000d0 40c0e62000000000 00000003"
+    + "0c0003" + "00" * 45
+    + "0b 00000000 00000000 00000002" + "00" * 35
+    + "02 02 00000029 00000000" + "00" * 38
+    + "03124a07 00 0000 0000 00 3f800000 0000000000000000"
+    + "2c9011f2 01 0000 0000 00 3fc00000 40b7d40000000000"
+)  # fmt: skip
+SETTINGS = {
+    "Allowed": {"MaxAttempts": 3, "MaxRetryAfter": 2000.0, "RetryAfter": True, "SecondCopies": True},
+    "Classes": [
+        {
+            "Aim": 600.0,
+            "Deadline": 1200.0,
+            "Idempotency": "guarded",
+            "Group": "cell",
+            "Worth": 12.0,
+            "SerialByKey": True,
+        }
+    ],
+    "Customers": [{"Name": "a", "QuotaPerS": 5.0, "Portion": 1.0}],
+    "Discovery": "ask",
+    "Obligations": {
+        "DrainGrace": 250.0,
+        "ColdFrom": 0.1,
+        "RampTime": 9.0,
+        "TipMultiple": 2.5,
+        "OverloadFor": 2.0,
+        "ShedAfterStart": True,
+        "KeyRest": 40.0,
+    },
+    "Tick": 5.0,
+    "NewKey": {"passed": "over"},
+}
+
+
+def test_events_as_printed() -> None:
+    number, now, events = Decoder().batch(EVENTS)
+    job = 0x000464905D3A91C4
+    assert (number, now) == (12, 8412.25)
+    assert events == [
+        (3, Request(job, 0, 8652.25, 0x91F03B7C55D20A64, 0, 12.0, False)),
+        (3, Timer(77)),
+        (5, Withdrawn(0x000AA5520E6F2B19)),
+    ]
+
+
+def test_reply_as_printed() -> None:
+    reply = Encoder(12)
+    reply.add(3, [Send(0x000464905D3A91C4, 0x03124A07, 80.0), Wake(500.0, 77)])
+    reply.add(5, [Log("two servers known")])
+    assert reply.frame() == ANSWER
+    assert Encoder(1).frame() == bytes.fromhex("00000001 0000000c 00000000")
+
+
+def test_other_actions_as_printed() -> None:
+    reply = Encoder(1)
+    job = 0x000AA5520E6F2B19
+    reply.add(
+        3, [Cancel(0x000464905D3A91C4, 0), Refuse(job, 250.0), Fail(job), Probe(0x2C9011F2), Subscribe()]
+    )
+    records = [
+        "010003" + "00" * 21,
+        "03000464905d3a91c400" + "00" * 14,
+        "04000aa5520e6f2b19406f400000000000" + "00" * 7,
+        "06000aa5520e6f2b19" + "00" * 15,
+        "0b2c9011f2" + "00" * 19,
+        "0901" + "00" * 22,
+    ]
+    assert reply.frame()[12:] == bytes.fromhex("".join(records))
+
+
+def test_list_as_printed_is_kept_for_later_batches() -> None:
+    decoder = Decoder()
+    [(instance, event)] = decoder.batch(LIST)[2]
+    assert instance == 3
+    assert isinstance(event, ServerList)
+    assert (event.kind, event.version) == (ListKind.CACHED, 41)
+    assert [(e.id, e.zone, e.state, e.size, e.started) for e in event.servers] == [
+        (0x03124A07, 0, State.READY, 1.0, 0.0),
+        (0x2C9011F2, 1, State.READY, 1.5, 6100.0),
+    ]
+    again = struct.pack(">IIdI", 2, 116, 1.0, 2) + LIST[20:68] + LIST[116:164]
+    assert decoder.batch(again)[2] == [(3, event)]
+
+
+def test_outcome_and_killed() -> None:
+    record = "05 000464905d3a91c4 03124a07 01 01 00 4032800000000000 01 3f000000" + "00" * 12 + "00" * 7
+    frame = struct.pack(">IIdI", 1, 164, 1.0, 3) + EVENTS[20:68] + bytes.fromhex(record) + b"\x0a" + bytes(47)
+    (_, outcome), (_, killed) = Decoder().batch(frame)[2]
+    assert outcome == Outcome(0x000464905D3A91C4, 0x03124A07, True, 1, 0, 18.5, (0.5,))
+    assert isinstance(killed, Killed)
+
+
+def test_born_brings_settings_and_passes_unknown_keys_over() -> None:
+    text = json.dumps(SETTINGS).encode()
+    head = struct.pack(">IIdI", 1, 116 + len(text), 1.0, 2)
+    born = b"\x01" + struct.pack(">QII", 9, 0, len(text)) + bytes(31)
+    [(_, event)] = Decoder().batch(head + EVENTS[20:68] + born + text)[2]
+    assert isinstance(event, Born)
+    assert event.seed == 9
+    assert event.settings.classes[0].effect is Effect.KEYED
+    assert event.settings.ask_for_list
+    assert event.settings.quotas == (5.0,)
+    assert event.settings.classes[0].in_order
+    assert (event.settings.full_may_have_run, event.settings.key_rest) == (True, 40.0)
+
+
+@pytest.mark.parametrize(
+    ("change", "word"),
+    [
+        ({"Classes": []}, "classes"),
+        ({"Discovery": "guess"}, "Discovery"),
+        ({"Tick": 0}, "tick"),
+        ({"Classes": [{**SETTINGS["Classes"][0], "Aim": -1}]}, "aim"),  # type: ignore[index]
+        ({"Classes": [{**SETTINGS["Classes"][0], "Idempotency": "maybe"}]}, "maybe"),  # type: ignore[index]
+        ({"Allowed": {}}, "MaxAttempts"),
+    ],
+)
+def test_settings_that_cannot_work_are_named(change: dict[str, object], word: str) -> None:
+    with pytest.raises(WireError, match=word):
+        read_settings(json.dumps({**SETTINGS, **change}).encode())
+
+
+@pytest.mark.parametrize(
+    ("frame", "word"),
+    [
+        (EVENTS[:10], "header"),
+        (EVENTS[:-1], "do not fit"),
+        (EVENTS[:20] + b"\x63" + bytes(47) + EVENTS[68:], "before any Select"),
+        (EVENTS[:68] + b"\x63" + EVENTS[69:], "unknown event code 99"),
+        (LIST[:73] + b"\x00\x00\xff\xff" + LIST[77:], "out of range"),
+        (struct.pack(">IIdI", 1, 116, 1.0, 2) + LIST[20:68] + LIST[116:164], "never given"),
+        (LIST[:164] + LIST[164:171] + b"\x00\x00\x09" + LIST[174:], "phase"),
+    ],
+)
+def test_malformed_frames_are_named(frame: bytes, word: str) -> None:
+    with pytest.raises(WireError, match=word):
+        Decoder().batch(frame)
+
+
+def test_settings_that_cannot_be_read_are_named_with_their_batch() -> None:
+    born = b"\x01" + struct.pack(">QII", 9, 0, 4) + bytes(31)
+    frame = struct.pack(">IIdI", 7, 120, 1.0, 2) + EVENTS[20:68] + born + b"{no}"
+    with pytest.raises(WireError, match="batch 7, byte 68: settings: not JSON"):
+        Decoder().batch(frame)
