Add the node: badgercart/, one process on uvloop and httptools

Cause: the module had only the simulator's adapter.

The node logs show an AssertionError in connection_made: uvloop's transports do not derive from asyncio.Transport, so isinstance is false.

--- /dev/null
+++ b/badgercart/__main__.py
@@ -0,0 +1,44 @@
+"""Starts the node, passes signals on to it, and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from badgercart.config import Config, ConfigError, read_config
+from badgercart.node import Node
+
+
+async def serve(config: Config) -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(config, loop)
+    gc.collect()
+    gc.freeze()  # what is there now stays: the collector need not look at it again
+    await node.run(stop)
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        print(f"badgercart: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:
+        print(f"badgercart: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/badgercart/config.py
@@ -0,0 +1,74 @@
+"""What a node is told at its start: the ROUTER_* variables and the JSON file that they name."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from cottonhall.interface import Settings
+from cottonhall.wire import WireError, read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration that a node can't start with: what is wrong, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors that the process may hold
+    known: dict[str, Any] | None  # the server list as this node last had it
+    settings: Settings
+    classes: dict[bytes, int]  # numbers of the names, in the order of the settings
+    tenants: dict[bytes, int]
+    kinds: dict[str, int]
+    zones: dict[str, int]
+    dial_timeout: float  # ms
+    idle_timeout: float  # ms after which a server closes a connection that carries nothing
+
+
+def parse_address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no host:port")
+    return host, int(port)
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """The node's configuration. The variables win over what the file repeats of them."""
+    path = environ.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+        settings = raw["settings"]
+        allowed = settings["Allowed"]
+        return Config(
+            name=str(environ.get("ROUTER_NAME") or raw["name"]),
+            listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
+            discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
+            seed=int(raw["seed"], 16),
+            sockets=int(raw["limits"]["sockets"]),
+            known=raw.get("known"),
+            settings=read_settings(json.dumps(settings).encode()),
+            classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
+            tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
+            kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
+            zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
+            dial_timeout=float(allowed["DialTimeout"]),
+            idle_timeout=float(allowed["ConnIdle"]),
+        )
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (TypeError, ValueError, AttributeError, WireError) as error:
+        raise ConfigError(f"{path}: {error}") from None
--- /dev/null
+++ b/badgercart/discovery.py
@@ -0,0 +1,113 @@
+"""The server list: the first whole list, then a watch, opened anew whenever it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from badgercart.config import Address
+
+PATH = "/catalog/members"
+SILENCE = 5.0  # s without a line after which a watch is taken for dead: an empty one is due every 2 s
+CALL_TIME = 2.0  # s for a connection to come up
+RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
+MAX_LINE = 8 << 20  # bytes
+
+log = logging.getLogger("badgercart")
+
+
+class DiscoveryError(Exception):
+    """A call that gave no list, or a watch that ended: what came instead."""
+
+
+class Body:
+    """The body of one answer, taken out of its framing."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.data = bytearray()
+        self.complete = False
+
+    def on_body(self, body: bytes) -> None:
+        self.data += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    async def more(self, reader: asyncio.StreamReader) -> None:
+        async with asyncio.timeout(SILENCE):
+            chunk = await reader.read(65536)
+        if not chunk:
+            raise DiscoveryError("the connection ended")
+        self.parser.feed_data(chunk)
+        if self.parser.get_status_code() not in (0, 200):
+            raise DiscoveryError(f"status {self.parser.get_status_code()}")
+        if len(self.data) > MAX_LINE:
+            raise DiscoveryError("a line over the limit")
+
+
+class Discovery:
+    """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
+
+    def __init__(
+        self, address: Address, on_list: Callable[[dict[str, Any]], int], rng: random.Random
+    ) -> None:
+        self.address = address
+        self.on_list = on_list
+        self.random = rng
+        self.version: int | None = None  # of the list in force; None: the whole list is wanted
+        self.retry = RETRY_FIRST
+
+    async def run(self) -> None:
+        told = False  # one line for each stretch of failures
+        while True:
+            try:
+                if self.version is None:
+                    await self.call(PATH, whole=True)
+                told = False
+                await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
+            except (OSError, DiscoveryError, httptools.HttpParserError) as error:
+                if not told:
+                    log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
+                told = True
+            # Nodes that lost discovery together must not come back together.
+            await asyncio.sleep(self.retry * (0.5 + self.random.random()))
+            self.retry = min(2 * self.retry, RETRY_MOST)
+
+    async def call(self, path: str, whole: bool) -> None:
+        host, port = self.address
+        async with asyncio.timeout(CALL_TIME):
+            reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            body = Body()
+            while not body.complete:
+                await body.more(reader)
+                if not whole:
+                    *lines, rest = body.data.split(b"\n")
+                    body.data = rest
+                    for line in lines:
+                        self.take(bytes(line))
+            if whole or body.data:
+                self.take(bytes(body.data))
+            if not whole:
+                raise DiscoveryError("the watch ended")
+        finally:
+            writer.close()
+
+    def take(self, line: bytes) -> None:
+        self.retry = RETRY_FIRST
+        if not line.strip():
+            return
+        try:
+            self.version = self.on_list(json.loads(line))
+        except ValueError as error:
+            # A change may have been missed with it: only the whole list brings it back.
+            self.version = None
+            raise DiscoveryError(f"malformed list: {error}") from None
--- /dev/null
+++ b/badgercart/servers.py
@@ -0,0 +1,309 @@
+"""The way to the servers: pooled connections, attempts on them, and how each attempt ended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+
+from badgercart.config import Address
+from cottonhall.interface import Result, State
+
+MAX_BODY = 65536
+IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
+SWEEP = 1.0  # s between looks for connections that have been idle for too long
+
+log = logging.getLogger("badgercart")
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+@dataclass(slots=True)
+class Message:
+    """A request as it goes on: all but its time-out, which each attempt writes anew."""
+
+    head: bytes  # request line and header lines
+    body: bytes
+
+
+@dataclass(slots=True)
+class Answer:
+    """A server's whole answer."""
+
+    status: int
+    body: bytes
+    content_type: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    request_id: int
+    number: int
+    server: Server
+    version: int  # of the server's entry when the attempt was decided
+    message: Message
+    started: float
+    deadline: float
+    timer: asyncio.TimerHandle | None = None
+    dial: asyncio.Task[None] | None = None
+    connection: ServerConnection | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A server at its address. The version counts changes after which old connections are not used."""
+
+    id: int
+    address: Address
+    state: State
+    started: float
+    version: int = 0
+    idle: list[ServerConnection] = field(default_factory=list)  # the most recently used last
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection; it carries one attempt at a time."""
+
+    def __init__(self, pool: ServerPool, server: Server) -> None:
+        self.transport: asyncio.Transport = None  # type: ignore[assignment]  # until connected
+        self.pool = pool
+        self.server = server
+        self.version = server.version
+        self.attempt: Attempt | None = None
+        self.idle_since = 0.0
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.not_started = False
+        self.content_type = b""
+        self.complete = False
+        self.keep = False
+        self.stray = False  # bytes came after the answer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not isinstance: uvloop's transports do not derive from asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
+        self.pool.connections += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.connections -= 1
+        if self in self.server.idle:
+            self.server.idle.remove(self)
+        if (attempt := self.attempt) is not None:
+            # The request has been given to the transport: what its buffer held is no proof that the
+            # server did not get it, so the attempt may have run.
+            self.attempt = None
+            self.pool.end(attempt, Result.RESET)
+
+    def start(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+        attempt.connection = self
+        self.complete = False
+        left = max(1, int(attempt.deadline - now_ms()))
+        message = attempt.message
+        self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self.complete:
+                self.malformed(str(error))
+                return
+            self.stray = True
+        except httptools.HttpParserUpgrade:
+            self.malformed("an upgrade")
+            return
+        if self.complete:
+            self.finish()
+
+    def malformed(self, what: str) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.transport.abort()
+        if attempt is not None:
+            log.warning("server %s:%d: malformed answer: %s", *self.server.address, what)
+            self.pool.end(attempt, Result.ERROR)
+
+    def finish(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        answer = Answer(self.parser.get_status_code(), bytes(self.body), self.content_type)
+        if self.keep and not self.stray:
+            self.pool.park(self)
+        else:
+            self.transport.close()
+        if answer.status == 200:
+            result = Result.OK
+        elif answer.status in (503, 504) and self.not_started:
+            result = Result.FULL
+        else:
+            result = Result.ERROR
+        self.pool.end(attempt, result, answer)
+
+    # What the parser finds.
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.stray = True
+            return
+        self.body.clear()
+        self.not_started = False
+        self.content_type = b""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:
+            return
+        lower = name.lower()
+        if lower == b"not-started":
+            self.not_started = value == b"1"
+        elif lower == b"content-type":
+            self.content_type = value
+
+    def on_body(self, body: bytes) -> None:
+        if self.complete:
+            return
+        if len(self.body) + len(body) > MAX_BODY:
+            raise ValueError("a body over the limit")  # reaches data_received as a parser error
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        if self.complete or self.parser.get_status_code() < 200:  # an interim answer
+            return
+        self.complete = True
+        self.keep = self.parser.should_keep_alive()
+
+
+class ServerPool:
+    """All servers that a list has named, and all attempts that are out."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        dial_timeout: float,
+        idle_timeout: float,
+        max_connections: int,
+        on_end: Callable[[Attempt, Result, Answer | None], None],
+    ) -> None:
+        self.loop = loop
+        self.dial_timeout = dial_timeout
+        self.keep_idle = max(idle_timeout - IDLE_MARGIN, idle_timeout / 2)
+        self.max_connections = max_connections
+        self.on_end = on_end
+        self.servers: dict[int, Server] = {}
+        self.attempts: dict[tuple[int, int], Attempt] = {}
+        self.connections = self.dials = 0
+        self.loop.call_later(SWEEP, self.sweep)
+
+    def update(self, server_id: int, address: Address, state: State, started: float) -> None:
+        """Take over a line of the server list."""
+        server = self.servers.get(server_id)
+        if server is None:
+            self.servers[server_id] = Server(server_id, address, state, started)
+        elif (server.address, server.state, server.started) != (address, state, started):
+            # Connections from before a restart are dead, and a server that drains gets nothing new.
+            server.address, server.state, server.started = address, state, started
+            server.version += 1
+            for connection in server.idle:
+                connection.transport.close()
+            server.idle.clear()
+
+    def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
+        server = self.servers[server_id]
+        now = now_ms()
+        attempt = Attempt(request_id, number, server, server.version, message, now, now + limit)
+        self.attempts[request_id, number] = attempt
+        attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
+        while server.idle:
+            connection = server.idle.pop()
+            if not connection.transport.is_closing() and now - connection.idle_since < self.keep_idle:
+                connection.start(attempt)
+                return
+            connection.transport.close()
+        attempt.dial = self.loop.create_task(self.connect(attempt))
+
+    async def connect(self, attempt: Attempt) -> None:
+        """Open a connection for an attempt; no byte has been sent where this fails."""
+        server = attempt.server
+        if self.connections + self.dials >= self.max_connections and not self.close_an_idle_one():
+            log.warning("no descriptors left for a connection to %s:%d", *server.address)
+            self.end(attempt, Result.UNREACHABLE)
+            return
+        self.dials += 1
+        connection, opened = ServerConnection(self, server), False
+        try:
+            async with asyncio.timeout(self.dial_timeout / 1000):
+                await self.loop.create_connection(lambda: connection, *server.address)
+            opened = True
+        except OSError:  # TimeoutError is one of them
+            self.end(attempt, Result.UNREACHABLE)
+            return
+        finally:
+            self.dials -= 1
+            # A cancel that comes just as the connection is up must not leave it open, unknown to the pool.
+            if not opened and connection.transport is not None:
+                connection.transport.abort()
+        attempt.dial = None
+        # Meanwhile the server may have begun to drain or come back elsewhere: then it gets nothing.
+        if attempt.version != server.version or connection.transport.is_closing():
+            connection.transport.abort()
+            self.end(attempt, Result.UNREACHABLE)
+        else:
+            connection.start(attempt)
+
+    def close_an_idle_one(self) -> bool:
+        for server in self.servers.values():
+            if server.idle:
+                server.idle.pop(0).transport.abort()
+                return True
+        return False
+
+    def park(self, connection: ServerConnection) -> None:
+        """Keep a connection for the next attempt, if its server still is the one it was opened to."""
+        server = connection.server
+        if connection.version != server.version or server.state is not State.READY:
+            connection.transport.close()
+            return
+        connection.idle_since = now_ms()
+        server.idle.append(connection)
+
+    def sweep(self) -> None:
+        self.loop.call_later(SWEEP, self.sweep)
+        before = now_ms() - self.keep_idle
+        for server in self.servers.values():
+            while server.idle and server.idle[0].idle_since < before:
+                server.idle.pop(0).transport.close()
+
+    def expire(self, attempt: Attempt) -> None:
+        # Where no connection came up in the whole time, nothing was sent.
+        self.drop(attempt, Result.UNREACHABLE if attempt.connection is None else Result.TIMEOUT)
+
+    def cancel(self, request_id: int, number: int) -> None:
+        attempt = self.attempts.get((request_id, number))
+        if attempt is not None:
+            self.drop(attempt, Result.CANCELLED)
+
+    def drop(self, attempt: Attempt, result: Result) -> None:
+        """Stop waiting: the connection is of no more use, an answer may still come on it."""
+        if attempt.dial is not None:
+            attempt.dial.cancel()
+        if attempt.connection is not None:
+            attempt.connection.attempt = None
+            attempt.connection.transport.abort()
+        self.end(attempt, result)
+
+    def end(self, attempt: Attempt, result: Result, answer: Answer | None = None) -> None:
+        if self.attempts.pop((attempt.request_id, attempt.number), None) is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.dial = attempt.connection = None
+        self.on_end(attempt, result, answer)
