Test the node over loopback sockets; mend what the reading found

Cause, each found by reading clients.py, discovery.py and node.py against PROTOCOL and shown by a test: - An answer given at once called for the next pipelined request from inside the call before it, so a few hundred health checks in one read would nest past the recursion limit. next() is now a loop that is not entered twice. - A request that asks for an upgrade closed its connection under an earlier one; now only its own answer is the last. - A client with half a request sent kept the node from ending after SIGTERM until the kill; drain() now stops waiting after the longest deadline. - Discovery logged one line for every failed watch, not one for each stretch of failures. - 405 lacked the Allow header.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -22,7 +22,9 @@
     node = Node(config, loop)
     gc.collect()
     gc.freeze()  # what is there now stays: the collector need not look at it again
-    await node.run(stop)
+    await node.start()
+    await stop.wait()
+    await node.drain()
 
 
 def main() -> int:
--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -36,10 +36,11 @@
 
 
 class BadRequest(Exception):
-    """A well-formed HTTP request that can't be taken: the status that says why."""
+    """A request that can't be taken: the status that says why, and header lines that go with it."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, extra: bytes = b"") -> None:
         self.status = status
+        self.extra = extra
 
 
 @dataclass(slots=True)
@@ -54,14 +55,18 @@
     timeout: float  # ms from then until the client gives up
 
 
+class Health:
+    """The front asks whether the node can serve."""
+
+
 class Handler(Protocol):
     """What takes the requests."""
 
     healthy: bool
     stopping: bool
 
-    def take(self, client: ClientConnection, request: ClientRequest) -> int:
-        """Take on a request; returns its number."""
+    def take(self, client: ClientConnection, request: ClientRequest) -> None:
+        """Take on a request and give the connection its number."""
 
     def withdraw(self, request_id: int) -> None:
         """The client has gone away."""
@@ -108,8 +113,9 @@
         if cls is None:
             raise BadRequest(404)
         effect = self.config.settings.classes[cls].effect
-        if parser.get_method() != (b"GET" if effect is Effect.SAFE else b"POST"):
-            raise BadRequest(405)
+        method = b"GET" if effect is Effect.SAFE else b"POST"
+        if parser.get_method() != method:
+            raise BadRequest(405, b"Allow: %b\r\n" % method)
         tenant = self.config.tenants.get(headers.tenant or b"") if self.config.tenants else 0
         if headers.bad or not headers.request_id or tenant is None:
             raise BadRequest(400)
@@ -122,12 +128,12 @@
 class Headers:
     """The headers of one request: what the node reads of them, and the lines that go on."""
 
-    __slots__ = ("bad", "expects", "key", "lines", "request_id", "size", "tenant", "timeout")
+    __slots__ = ("bad", "expects", "key", "lines", "request_id", "size", "tenant", "timeout", "whole")
 
     def __init__(self) -> None:
         self.lines: list[bytes] = []
         self.size = 0
-        self.bad = self.expects = False
+        self.bad = self.expects = self.whole = False
         self.request_id: bytes | None = None
         self.tenant: bytes | None = None
         self.key: bytes | None = None
@@ -163,12 +169,15 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         self.parser = httptools.HttpRequestParser(self)
-        self.waiting: deque[tuple[ClientRequest | int, bool]] = deque()  # request or status, keep-alive
+        self.waiting: deque[tuple[ClientRequest | BadRequest | Health, bool]] = (
+            deque()
+        )  # and whether to keep alive
         self.request_id = 0  # of the request that is being served; 0: none
-        self.busy = False
+        self.busy = self.advancing = False
         self.keep = True  # the connection, after the answer under way
         self.ended = False  # the last answer has been written
         self.paused = False
+        self.reading = False  # a request has come in part
         self.timer: asyncio.TimerHandle | None = None  # runs while a request is on its way in
         self.url = b""
         self.headers = Headers()
@@ -204,41 +213,40 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.stop_reading(None)  # the request that asked for it is served as any other
-        except httptools.HttpParserCallbackError as error:
-            status = error.__context__.status if isinstance(error.__context__, BadRequest) else 400
-            self.stop_reading(status)
-        except httptools.HttpParserError:
-            self.stop_reading(400)
+            # No upgrade is offered: the request is served as any other, and the last on its connection.
+            self.ended = True
+            if self.waiting:
+                self.waiting[-1] = (self.waiting[-1][0], False)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self.stop_reading(cause if isinstance(cause, BadRequest) else BadRequest(400))
         else:
-            if self.unread > MAX_HEAD and not self.headers.size:
-                self.stop_reading(431)
+            if self.unread > MAX_HEAD and not self.headers.whole:
+                self.stop_reading(BadRequest(431))
         if len(self.waiting) > MAX_WAITING and not self.paused:
             self.paused = True
             self.transport.pause_reading()
         self.next()
 
-    def stop_reading(self, status: int | None) -> None:
+    def stop_reading(self, error: BadRequest) -> None:
         """Nothing further on this connection can be told apart: answer what came before, then this."""
         self.ended = True
+        self.listener.idle.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
-        if status is not None:
-            self.waiting.append((status, False))
-        else:
-            self.waiting = deque((request, False) for request, _ in self.waiting)
-            self.keep = False
+        self.waiting.append((error, False))
 
     def on_message_begin(self) -> None:
         self.listener.idle.pop(self, None)
         self.headers = Headers()
         self.body = bytearray()
         self.url = b""
+        self.reading = True
         self.timer = self.listener.loop.call_later(REQUEST_TIME, self.too_slow)
 
     def too_slow(self) -> None:
         """A client that never finishes its request must not hold a descriptor for ever."""
-        self.stop_reading(408)
+        self.stop_reading(BadRequest(408))
         self.next()
 
     def on_url(self, url: bytes) -> None:
@@ -254,7 +262,7 @@
         headers.add(name, value)
 
     def on_headers_complete(self) -> None:
-        self.headers.size += 1  # the head is whole, even one without headers
+        self.headers.whole = True
         if self.headers.expects:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -264,23 +272,22 @@
         self.body += body
 
     def on_message_complete(self) -> None:
+        self.reading = False
         if self.timer is not None:
             self.timer.cancel()
         self.unread = 0
         keep = self.parser.should_keep_alive()
-        item: ClientRequest | int
         try:
-            item = self.whole_request()
+            self.waiting.append((self.whole_request(), keep))
         except BadRequest as error:
-            item = error.status
-        self.waiting.append((item, keep))
+            self.waiting.append((error, keep))
 
-    def whole_request(self) -> ClientRequest | int:
+    def whole_request(self) -> ClientRequest | Health:
         headers, url = self.headers, self.url
         if url == HEALTH_PATH:
             if self.parser.get_method() != b"GET":
-                raise BadRequest(405)
-            return 200 if self.listener.handler.healthy and not self.listener.handler.stopping else 503
+                raise BadRequest(405, b"Allow: GET\r\n")
+            return Health()
         cls, tenant, key = self.listener.check(self.parser, url, headers)
         method = self.parser.get_method()
         if headers.timeout is None or (self.body and method == b"GET"):
@@ -292,13 +299,22 @@
 
     def next(self) -> None:
         """Begin with the next request that has come in whole."""
+        if self.advancing:  # an answer given at once comes back here: a loop, or many would nest too deep
+            return
+        self.advancing = True
+        handler = self.listener.handler
         while self.waiting and not self.busy:
             item, self.keep = self.waiting.popleft()
             self.busy = True
-            if isinstance(item, int):
-                self.answer(item, b"ok\n" if item == 200 else b"")
+            if isinstance(item, ClientRequest):
+                handler.take(self, item)
+            elif isinstance(item, BadRequest):
+                self.answer(item.status, extra=item.extra)
+            elif handler.healthy and not handler.stopping:
+                self.answer(200, b"ok\n", b"text/plain")
             else:
-                self.listener.handler.take(self, item)
+                self.answer(503)
+        self.advancing = False
 
     # Answers out.
 
@@ -314,12 +330,13 @@
         if not keep:
             self.end()
             return
-        if self.waiting:
-            self.next()
-        elif self.paused:
+        self.next()
+        if self.waiting or self.busy:
+            return
+        if self.paused:
             self.paused = False
             self.transport.resume_reading()
-        if not self.busy and not self.ended:
+        if not self.reading and not self.ended:
             self.listener.idle[self] = None
 
     def end(self) -> None:
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -63,19 +63,18 @@
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.retry = RETRY_FIRST
+        self.failing = False
 
     async def run(self) -> None:
-        told = False  # one line for each stretch of failures
         while True:
             try:
                 if self.version is None:
                     await self.call(PATH, whole=True)
-                told = False
                 await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
-                if not told:
+                if not self.failing:  # one line for each stretch of failures
                     log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
-                told = True
+                self.failing = True
             # Nodes that lost discovery together must not come back together.
             await asyncio.sleep(self.retry * (0.5 + self.random.random()))
             self.retry = min(2 * self.retry, RETRY_MOST)
@@ -102,11 +101,10 @@
             writer.close()
 
     def take(self, line: bytes) -> None:
-        self.retry = RETRY_FIRST
-        if not line.strip():
-            return
         try:
-            self.version = self.on_list(json.loads(line))
+            if line.strip():
+                self.version = self.on_list(json.loads(line))
+            self.retry, self.failing = RETRY_FIRST, False
         except ValueError as error:
             # A change may have been missed with it: only the whole list brings it back.
             self.version = None
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -45,6 +45,7 @@
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 64  # descriptors for the listener, discovery, files, and connections that are closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 log = logging.getLogger("badgercart")
@@ -71,6 +72,8 @@
         self.events: deque[Event] = deque()
         self.handling = False
         self.healthy = self.stopping = False
+        self.server: asyncio.Server | None = None
+        self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
         room = max(config.sockets - SPARE_SOCKETS, 32)
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, room // 2, self.attempt_ended)
@@ -149,13 +152,12 @@
 
     # From clients.
 
-    def take(self, client: ClientConnection, request: ClientRequest) -> int:
+    def take(self, client: ClientConnection, request: ClientRequest) -> None:
         self.last_id += 1
         request_id = client.request_id = self.last_id
         due = request.sent + request.timeout - MARGIN
         self.held[request_id] = Held(client, request.message, due)
         self.tell(Request(request_id, request.cls, due, request.key, request.tenant))
-        return request_id
 
     def withdraw(self, request_id: int) -> None:
         if self.held.pop(request_id, None) is not None:
@@ -216,19 +218,28 @@
 
     # Start and stop.
 
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serve until told to stop, then finish what is held."""
-        server = await self.listener.start()
-        watch = self.loop.create_task(self.discovery.run())
-        log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
-        await stop.wait()
+    async def start(self) -> None:
+        self.server = await self.listener.start()
+        self.watch = self.loop.create_task(self.discovery.run())
+        log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
+
+    async def drain(self) -> None:
+        """Take what still comes, answer all that is held, then end."""
         self.stopping = True
         log.info("stopping: %d requests held", len(self.held))
+        # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.listener.close_idle()
-        await asyncio.sleep(ACCEPT_FOR)  # clients go on coming for a while
-        server.close()
-        while self.listener.connections:
+        await asyncio.sleep(ACCEPT_FOR)
+        self.close()
+        # Who has not sent its whole request by now can't keep the node from ending.
+        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
+        while self.listener.connections and now_ms() < end:
             self.listener.close_idle()
-            await asyncio.sleep(0.01)
-        watch.cancel()
+            await asyncio.sleep(DRAIN_LOOK)
         log.info("stopped")
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        if self.watch is not None:
+            self.watch.cancel()
--- /dev/null
+++ b/tests/net.py
@@ -0,0 +1,235 @@
+"""Loopback peers for a node under test: servers that follow a script, discovery, and a raw client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+from badgercart.config import Config
+from badgercart.node import Node
+from cottonhall.interface import Effect, Outcome, RequestClass, Settings
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+CLASSES = {"find": Effect.SAFE, "book": Effect.KEYED, "pay": Effect.UNSAFE}
+WAIT = 10.0  # s, for what must come; only a failing test gets there
+
+Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def answer_ok(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(OK)
+
+
+def answer(data: bytes) -> Script:
+    async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+
+    return script
+
+
+async def hang_up(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def stay_silent(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+    pass
+
+
+class Peer:
+    """A server. Each request it gets goes into `requests`, each connection that ends into `ended`."""
+
+    def __init__(self, script: Script = answer_ok) -> None:
+        self.script = script
+        self.requests: asyncio.Queue[bytes] = asyncio.Queue()
+        self.ended: asyncio.Queue[int] = asyncio.Queue()
+        self.connections = 0
+
+    async def start(self) -> Peer:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port: int = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = field(head, b"Content-Length")
+                body = await reader.readexactly(int(length)) if length else b""
+                self.requests.put_nowait(head + body)
+                await self.script(self, head, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.ended.put_nowait(1)
+            writer.close()
+
+    def entry(self, name: str = "s-1", state: str = "active", started: int = 0) -> dict[str, Any]:
+        return {
+            "instanceId": name,
+            "hostPort": f"127.0.0.1:{self.port}",
+            "zone": "a",
+            "machineType": "m",
+            "cell": 0,
+            "lifecycle": state,
+            "weight": 1.0,
+            "startedAtMs": started,
+        }
+
+
+class Agent:
+    """Discovery. Lines put into `lines` go out on the watch; None ends it. `calls` has every target."""
+
+    def __init__(self, instances: list[dict[str, Any]], generation: int = 1) -> None:
+        self.whole = {"generation": generation, "reset": True, "instances": instances}
+        self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.calls: asyncio.Queue[str] = asyncio.Queue()
+
+    async def start(self) -> Agent:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port: int = self.server.sockets[0].getsockname()[1]
+        return self
+
+    def push(self, generation: int, instances: list[dict[str, Any]], reset: bool = False) -> None:
+        line = {"generation": generation, "reset": reset, "instances": instances}
+        self.lines.put_nowait(json.dumps(line).encode() + b"\n")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            target = head.split(b" ")[1].decode()
+            self.calls.put_nowait(target)
+            if "watch" not in target:
+                body = json.dumps(self.whole).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+            while (line := await self.lines.get()) is not None:
+                writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+class Client:
+    """One connection to the node, driven by hand."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def answer(self) -> tuple[int, bytes, bytes]:
+        """Status, head and body of the next answer."""
+        async with asyncio.timeout(WAIT):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            body = await self.reader.readexactly(int(field(head, b"Content-Length") or 0))
+        return int(head.split(b" ")[1]), head, body
+
+    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
+        self.writer.write(data)
+        return await self.answer()
+
+    async def end(self) -> bytes:
+        """What still comes until the node ends the connection."""
+        async with asyncio.timeout(WAIT):
+            return await self.reader.read()
+
+
+def field(head: bytes, name: bytes) -> bytes | None:
+    for line in head.split(b"\r\n")[1:]:
+        key, _, value = line.partition(b": ")
+        if key.lower() == name.lower():
+            return value
+    return None
+
+
+_ids = iter(range(1, 1 << 30))
+
+
+def request(
+    cls: str = "find", timeout: str = "8000m", key: str = "cab7", body: bytes = b"", **headers: str
+) -> bytes:
+    effect = CLASSES.get(cls, Effect.SAFE)
+    method = "GET" if effect is Effect.SAFE else "POST"
+    lines = {"Host": "backend.local", "Request-Id": f"{next(_ids):016x}", "Request-Timeout": timeout}
+    if effect is Effect.KEYED:
+        lines["Idempotency-Key"] = "5c0f"
+    if method == "POST":
+        lines["Content-Length"] = str(len(body))
+    lines |= {name.replace("_", "-"): value for name, value in headers.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    return f"{method} /{cls}/{key} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+def config(discovery: int, aim: float = 5000.0, attempts: int = 1, **changes: Any) -> Config:
+    classes = tuple(
+        RequestClass(aim=aim, deadline=9000.0, worth=1.0, effect=effect, window=9000.0)
+        for effect in CLASSES.values()
+    )
+    values: dict[str, Any] = {
+        "name": "n0",
+        "listen": ("127.0.0.1", 0),
+        "discovery": ("127.0.0.1", discovery),
+        "seed": 1,
+        "sockets": 1024,
+        "known": None,
+        "settings": Settings(classes=classes, may_cancel=True, max_attempts=attempts, max_retry_after=600.0),
+        "classes": {name.encode(): i for i, name in enumerate(CLASSES)},
+        "tenants": {},
+        "kinds": {"m": 0},
+        "zones": {"a": 0},
+        "dial_timeout": 5000.0,
+        "idle_timeout": 15000.0,
+    }
+    return Config(**values | changes)
+
+
+class Stand:
+    """A running node with what its policy was told."""
+
+    def __init__(self, node: Node, agent: Agent) -> None:
+        self.node = node
+        self.agent = agent
+        self.events: asyncio.Queue[object] = asyncio.Queue()
+        handle = node.policy.handle
+
+        def spy(now: float, event: Any) -> Any:
+            actions = handle(now, event)
+            self.events.put_nowait(event)
+            return actions
+
+        node.policy.handle = spy  # type: ignore[method-assign]
+
+    async def event(self, kind: type) -> Any:
+        """The next event of a kind that the policy is told."""
+        async with asyncio.timeout(WAIT):
+            while not isinstance(event := await self.events.get(), kind):
+                pass
+        return event
+
+    async def outcome(self) -> Outcome:
+        event: Outcome = await self.event(Outcome)
+        return event
+
+    async def client(self) -> Client:
+        assert self.node.server is not None
+        return Client(*await asyncio.open_connection(*self.node.server.sockets[0].getsockname()))
+
+
+@asynccontextmanager
+async def running(*peers: Peer, **changes: Any) -> AsyncIterator[Stand]:
+    """A node that knows these servers as s-1, s-2 and so on."""
+    entries = [peer.entry(f"s-{i}") for i, peer in enumerate(peers, 1)]
+    agent = await Agent(entries).start()
+    known = {"generation": 1, "reset": True, "instances": entries}
+    node = Node(config(agent.port, **{"known": known} | changes), asyncio.get_running_loop())
+    stand = Stand(node, agent)
+    await node.start()
+    try:
+        yield stand
+    finally:
+        node.close()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,356 @@
+"""The node over loopback sockets: what goes on, what comes back, and what the module is told of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from badgercart.clients import stable_id
+from cottonhall.interface import Outcome, Result, Send, ServerList, State, Withdrawn
+from tests.net import (
+    OK,
+    WAIT,
+    Peer,
+    Script,
+    answer,
+    answer_ok,
+    field,
+    hang_up,
+    request,
+    running,
+    stay_silent,
+)
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    uvloop.run(test)
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
+    async def test() -> None:
+        typed = OK.replace(b"\r\n\r\n", b"\r\nContent-Type: x/y\r\n\r\n")
+        peer = await Peer(answer(typed)).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            data = request("book", body=b"\x00ride", Tenant="acme").replace(b"/cab7", b"/cab7?a=1&b=%20")
+            status, head, body = await client.ask(data)
+            assert (status, body, field(head, b"Content-Type")) == (200, b"done", b"x/y")
+            got = await peer.requests.get()
+            assert got.startswith(b"POST /book/cab7?a=1&b=%20 HTTP/1.1\r\n") and got.endswith(
+                b"\r\n\r\n\x00ride"
+            )
+            for name in (b"Request-Id", b"Idempotency-Key", b"Tenant", b"Host"):
+                assert field(got, name) == field(data, name)
+            left = field(got, b"Request-Timeout")
+            assert left is not None and left.endswith(b"m") and 0 < int(left[:-1]) <= 5000
+
+    run(test())
+
+
+def test_ids_are_the_same_at_every_node_and_start() -> None:
+    assert stable_id(b"s-5be2a07c") == 0x850D21AD14919D0C
+
+
+@pytest.mark.parametrize(
+    ("script", "result"),
+    [
+        (answer_ok, Result.OK),
+        (answer(b"HTTP/1.1 100 Continue\r\n\r\n" + OK), Result.OK),
+        (answer(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
+        (answer(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
+        (answer(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
+        (answer(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), Result.FULL),
+        (answer(b"HTTP/1.1 504 No\r\nnot-started: 1\r\nContent-Length: 0\r\n\r\n"), Result.FULL),
+        (answer(b"HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
+        (answer(b"no HTTP at all\r\n\r\n"), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + bytes(70000)), Result.ERROR),
+        (hang_up, Result.RESET),
+    ],
+)
+def test_outcomes(script: Script, result: Result) -> None:
+    async def test() -> None:
+        async with running(await Peer(script).start()) as stand:
+            client = await stand.client()
+            status, head, _ = await client.ask(request())
+            assert (await stand.outcome()).result == result
+            assert status == (200 if result is Result.OK else 503)
+            assert (field(head, b"Retry-After") is None) == (status == 200)  # who is refused is told when
+            assert not stand.node.held and not stand.node.pool.attempts
+
+    run(test())
+
+
+def test_a_server_that_refuses_connections_is_unreachable() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        peer.server.close()
+        async with running(peer) as stand:
+            status, _, _ = await (await stand.client()).ask(request("pay"))
+            assert (status, (await stand.outcome()).result) == (503, Result.UNREACHABLE)
+
+    run(test())
+
+
+def test_a_silent_server_times_out_and_its_connection_is_closed() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer, aim=1000.0) as stand:
+            status, _, _ = await (await stand.client()).ask(request())
+            assert (status, (await stand.outcome()).result) == (503, Result.TIMEOUT)
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+
+    run(test())
+
+
+def test_an_unsafe_request_that_may_have_run_is_neither_resent_nor_refused() -> None:
+    async def test() -> None:
+        peers = [await Peer(hang_up).start(), await Peer(hang_up).start()]
+        async with running(*peers, attempts=4) as stand:
+            status, _, _ = await (await stand.client()).ask(request("pay"))
+            assert status == 502
+            assert sum(peer.requests.qsize() for peer in peers) == 1
+
+    run(test())
+
+
+def test_a_server_that_drains_while_a_dial_is_on_gets_nothing() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            node, client = stand.node, await stand.client()
+            send = node.send
+
+            def drained_at_once(action: Send) -> None:
+                send(action)
+                stand.node.take_list(
+                    {"generation": 2, "reset": False, "instances": [peer.entry("s-1", "leaving")]}
+                )
+
+            node.perform[Send] = drained_at_once
+            status, _, _ = await client.ask(request())
+            assert (status, (await stand.outcome()).result) == (503, Result.UNREACHABLE)
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            assert peer.requests.empty()
+
+    run(test())
+
+
+def test_a_restart_leaves_the_old_connections_unused() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+            stand.agent.push(2, [peer.entry("s-1", started=1_000)])
+            while (await stand.event(ServerList)).version != 2:
+                pass
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            assert not stand.node.pool.servers[stable_id(b"s-1")].idle
+
+    run(test())
+
+
+def test_a_connection_with_stray_bytes_is_not_used_again() -> None:
+    async def test() -> None:
+        peer = await Peer(answer(OK + OK)).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            for _ in range(3):
+                assert (await client.ask(request()))[2] == b"done"
+            assert peer.connections == 3
+
+    run(test())
+
+
+def test_a_connection_is_used_again() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            for _ in range(3):
+                assert (await client.ask(request()))[0] == 200
+            assert peer.connections == 1
+
+    run(test())
+
+
+def test_a_client_that_goes_away_frees_everything() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            client.writer.close()
+            await stand.event(Withdrawn)
+            assert (await stand.outcome()).result == Result.CANCELLED
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            node = stand.node
+            assert not node.held and not node.pool.attempts and not node.listener.connections
+
+    run(test())
+
+
+def test_a_cancelled_dial_leaves_no_connection_behind() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            pool, client = stand.node.pool, await stand.client()
+            send = stand.node.send
+
+            def cancelled_at_once(action: Send) -> None:
+                send(action)
+                asyncio.get_running_loop().call_soon(pool.cancel, action.id, 0)
+
+            stand.node.perform[Send] = cancelled_at_once
+            assert (await client.ask(request()))[0] == 503
+            assert (await stand.outcome()).result == Result.CANCELLED
+            stand.node.perform[Send] = send
+            assert (await client.ask(request()))[0] == 200
+            assert pool.dials == 0 and pool.connections == 1 and not pool.attempts
+
+    run(test())
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    async def echo(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        name = head.split(b" ")[1].rpartition(b"/")[2]
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(name), name))
+
+    async def test() -> None:
+        async with running(await Peer(echo).start()) as stand:
+            client = await stand.client()
+            client.writer.write(b"".join(request(key=f"k{i}") for i in range(40)))
+            for i in range(40):
+                assert (await client.answer())[2] == b"k%d" % i
+
+    run(test())
+
+
+def test_many_answers_at_once_do_not_nest() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            client = await stand.client()
+            client.writer.write(b"GET /_health HTTP/1.1\r\n\r\n" * 3000)
+            for _ in range(3000):
+                assert (await client.answer())[0] == 200
+
+    run(test())
+
+
+BAD = [
+    (b"nonsense\r\n\r\n", 400, True),
+    (request().replace(b"Request-Id", b"X-Id"), 400, False),
+    (request().replace(b"Request-Timeout", b"X-Timeout"), 400, False),
+    (request(timeout="soon"), 400, False),
+    (request(timeout="-5m"), 400, False),
+    (request(Request_ID="twice"), 400, False),
+    (request("book").replace(b"Idempotency-Key", b"X-Key"), 400, False),
+    (request("pay", Idempotency_Key="5c0f"), 400, False),
+    (request(Content_Length="1") + b"x", 400, False),
+    (request("unknown"), 404, False),
+    (request().replace(b"GET", b"PUT"), 405, False),
+    (request("pay").replace(b"POST", b"GET"), 405, False),
+    (request("pay", Content_Length="70000") + bytes(70000), 413, True),
+    (request(X="y" * 20000), 431, True),
+    (b"GET /" + b"a" * 20000, 431, True),
+    (b"GET /find/1 HTTP/1.1\r\nX: " + b"a" * 20000, 431, True),
+]
+
+
+@pytest.mark.parametrize(("data", "status", "ends"), BAD)
+def test_bad_input_is_told_and_goes_to_no_server(data: bytes, status: int, ends: bool) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(data))[0] == status
+            assert peer.requests.empty()
+            if ends:
+                assert await client.end() == b""
+                client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+
+    run(test())
+
+
+def test_an_exception_in_the_policy_costs_its_request_alone(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            client = await stand.client()
+            handle = stand.node.policy.handle
+
+            def broken(now: float, event: object) -> Any:
+                raise RuntimeError("broken on purpose")
+
+            stand.node.policy.handle = broken  # type: ignore[method-assign]
+            assert (await client.ask(request()))[0] == 500
+            stand.node.policy.handle = handle  # type: ignore[method-assign]
+            assert (await client.ask(request()))[0] == 200
+            assert not stand.node.held
+
+    run(test())
+    assert "broken on purpose" in caplog.text
+
+
+def test_a_malformed_line_leaves_the_list_and_brings_a_whole_one() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client, calls = await stand.client(), stand.agent.calls
+            assert await calls.get() == "/catalog/members?watch=1&from=1"
+            stand.agent.lines.put_nowait(
+                b'{"generation": 2, "reset": true, "instances": [{"instanceId": 7}]}\n'
+            )
+            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members"
+            assert (await client.ask(request()))[0] == 200
+            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
+
+    run(test())
+
+
+def test_a_watch_that_ends_is_opened_again_where_it_was() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            calls = stand.agent.calls
+            assert await calls.get() == "/catalog/members?watch=1&from=1"
+            stand.agent.push(5, [peer.entry("s-1", "leaving")])
+            stand.agent.lines.put_nowait(None)
+            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=5"
+            assert stand.node.pool.servers[stable_id(b"s-1")].state is State.DRAINING
+
+    run(test())
+
+
+def test_health_waits_for_a_list() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, known=None) as stand:
+            client = await stand.client()
+            await stand.event(ServerList)
+            assert (await client.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+            stand.node.healthy = False
+            assert (await client.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 503
+
+    run(test())
+
+
+def test_a_late_answer_reaches_the_policy_and_not_the_client() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            stand.node.answer(stand.node.last_id, 502)
+            stand.node.pool.cancel(stand.node.last_id, 0)
+            assert (await client.answer())[0] == 502
+            outcome: Outcome = await stand.outcome()
+            assert outcome.over and outcome.result == Result.CANCELLED
+
+    run(test())
