--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -128,11 +128,22 @@
 class Headers:
     """The headers of one request: what the node reads of them, and the lines that go on."""
 
-    __slots__ = ("bad", "expects", "key", "lines", "request_id", "size", "tenant", "timeout", "whole")
+    __slots__ = (
+        "bad",
+        "expects",
+        "key",
+        "length",
+        "lines",
+        "request_id",
+        "size",
+        "tenant",
+        "timeout",
+        "whole",
+    )
 
     def __init__(self) -> None:
         self.lines: list[bytes] = []
-        self.size = 0
+        self.size = self.length = 0
         self.bad = self.expects = self.whole = False
         self.request_id: bytes | None = None
         self.tenant: bytes | None = None
@@ -155,6 +166,8 @@
             self.bad = self.bad or self.timeout is not None or match is None
             if match is not None:
                 self.timeout = float(match[1]) / (1 if match[2] == b"m" else 1000)
+        elif lower == b"content-length":
+            self.length = int(value)  # the parser has refused all but digits
         elif lower == b"expect":
             self.expects = value.lower() == b"100-continue"
         if lower not in _OWN:
@@ -185,7 +198,7 @@
         self.unread = 0  # bytes since the last whole head
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # Not isinstance: uvloop's transports do not derive from asyncio's.
+        # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
         self.listener.opened(self)
 
@@ -263,7 +276,9 @@
 
     def on_headers_complete(self) -> None:
         self.headers.whole = True
-        if self.headers.expects:
+        if self.headers.length > MAX_BODY:
+            raise BadRequest(413)  # before the body has come
+        if self.headers.expects and not self.busy and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -14,7 +14,9 @@
 from badgercart.config import Address
 
 PATH = "/catalog/members"
-SILENCE = 5.0  # s without a line after which a watch is taken for dead: an empty one is due every 2 s
+# An empty line is due every 2 s, and a change counts as told after 6 s, also one that never arrived: a
+# watch that has said nothing for this long, in s, is opened anew in time to hear of it.
+SILENCE = 4.5
 CALL_TIME = 2.0  # s for a connection to come up
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
 MAX_LINE = 8 << 20  # bytes
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -230,12 +230,14 @@
         # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.listener.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
-        self.close()
+        assert self.server is not None
+        self.server.close()
         # Who has not sent its whole request by now can't keep the node from ending.
         end = now_ms() + max(c.deadline for c in self.config.settings.classes)
         while self.listener.connections and now_ms() < end:
             self.listener.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
+        self.close()  # the list is followed to the end: what is held may still be sent again
         log.info("stopped")
 
     def close(self) -> None:
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -87,7 +87,7 @@
         self.stray = False  # bytes came after the answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        # Not isinstance: uvloop's transports do not derive from asyncio's.
+        # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
         self.pool.connections += 1
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Coroutine
+from contextlib import suppress
 from typing import Any
 
 import pytest
 import uvloop
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from badgercart import clients
 from badgercart.clients import stable_id
 from cottonhall.interface import Outcome, Result, Send, ServerList, State, Withdrawn
 from tests.net import (
@@ -256,6 +261,14 @@
     (request().replace(b"GET", b"PUT"), 405, False),
     (request("pay").replace(b"POST", b"GET"), 405, False),
     (request("pay", Content_Length="70000") + bytes(70000), 413, True),
+    (request("pay", Content_Length="70000", Expect="100-continue"), 413, True),
+    (
+        request("pay", Transfer_Encoding="chunked").replace(b"Content-Length: 0\r\n", b"")
+        + b"11000\r\n"
+        + bytes(0x11000),
+        413,
+        True,
+    ),
     (request(X="y" * 20000), 431, True),
     (b"GET /" + b"a" * 20000, 431, True),
     (b"GET /find/1 HTTP/1.1\r\nX: " + b"a" * 20000, 431, True),
@@ -354,3 +367,131 @@
             assert outcome.over and outcome.result == Result.CANCELLED
 
     run(test())
+
+
+def test_a_client_with_too_little_time_is_refused_at_once() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            assert (await (await stand.client()).ask(request(timeout="20m")))[0] == 503
+            assert peer.requests.empty()
+
+    run(test())
+
+
+def test_a_keyed_request_that_may_have_run_is_sent_again_with_its_key() -> None:
+    async def test() -> None:
+        peers = [await Peer(hang_up).start(), await Peer(hang_up).start()]
+        async with running(*peers, attempts=4) as stand:
+            stand.node.policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            data = request("book")
+            assert (await (await stand.client()).ask(data))[0] == 503
+            for peer in peers:
+                got = await asyncio.wait_for(peer.requests.get(), WAIT)
+                assert field(got, b"Idempotency-Key") == b"5c0f"
+                assert field(got, b"Request-Id") == field(data, b"Request-Id")
+
+    run(test())
+
+
+def test_a_connection_that_was_idle_for_too_long_is_not_used() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, idle_timeout=0.0) as stand:
+            client = await stand.client()
+            for _ in range(2):
+                assert (await client.ask(request()))[0] == 200
+            assert peer.connections == 2
+
+    run(test())
+
+
+def test_near_the_descriptor_limit_the_longest_idle_client_makes_room() -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), sockets=96) as stand:
+            limit = stand.node.listener.limit
+            crowd = [await stand.client() for _ in range(limit)]
+            for client in crowd:
+                assert (await client.ask(request()))[0] == 200
+            newest = await stand.client()
+            assert (await newest.ask(request()))[0] == 200
+            assert await crowd[0].end() == b""
+            assert (await crowd[1].ask(request()))[0] == 200
+            assert len(stand.node.listener.connections) == limit
+
+    run(test())
+
+
+def test_server_connections_stay_under_their_limit() -> None:
+    async def test() -> None:
+        peers = [await Peer(stay_silent).start() for _ in range(3)]
+        async with running(*peers) as stand:
+            stand.node.pool.max_connections = 0
+            assert (await (await stand.client()).ask(request()))[0] == 503
+            assert (await stand.outcome()).result == Result.UNREACHABLE
+            assert not any(peer.connections for peer in peers)
+
+    run(test())
+
+
+def test_a_request_that_never_ends_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "REQUEST_TIME", 0.05)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            client = await stand.client()
+            assert (await client.ask(b"GET /find/1 HTTP/1.1\r\nHost:"))[0] == 408
+            assert await client.end() == b""
+
+    run(test())
+
+
+def test_small_writes_are_not_held_back() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            assert (await (await stand.client()).ask(request()))[0] == 200
+            (client,) = stand.node.listener.connections
+            (server,) = stand.node.pool.servers[stable_id(b"s-1")].idle
+            for connection in (client, server):
+                sock = connection.transport.get_extra_info("socket")
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    run(test())
+
+
+@settings(max_examples=40, derandomize=True, database=None, deadline=None)
+@given(data=st.lists(st.sampled_from([b"GET ", b"/find/a", b" HTTP/1.1", b"\r\n", b"\r\n\r\n", b"Host: x",
+                                      b"Content-Length: 3", b"Request-Id: 1", b"\x00", b"a", b"Upgrade: x",
+                                      b"Connection: upgrade", b"Transfer-Encoding: chunked"])
+                     | st.binary(max_size=20), max_size=30).map(b"".join))  # fmt: skip
+def test_no_bytes_of_a_client_bring_the_node_down(data: bytes) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            rude = await stand.client()
+            rude.writer.write(data)
+            rude.writer.write_eof()
+            with suppress(ConnectionError):  # a reset is as good an end
+                await rude.end()
+            assert peer.requests.empty()
+            assert (await (await stand.client()).ask(request()))[0] == 200
+            assert not stand.node.held
+
+    run(test())
+
+
+@settings(max_examples=20, derandomize=True, database=None, deadline=None)
+@given(cuts=st.lists(st.integers(min_value=1, max_value=200), max_size=8))
+def test_a_request_may_come_in_pieces(cuts: list[int]) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client, data = await stand.client(), request("book", body=b"x" * 40)
+            places = [0, *sorted(cuts), len(data)]
+            for start, end in zip(places, places[1:], strict=False):
+                client.writer.write(data[start:end])
+                await asyncio.sleep(0)
+            assert (await client.answer())[0] == 200
+            assert (await peer.requests.get()).endswith(b"x" * 40)
+
+    run(test())
