--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -258,11 +258,11 @@
             assert (await client.ask(request()))[0] == 200
             writers[0].write(OK.replace(b"done", b"late"))
             await asyncio.wait_for(peer.ended.get(), WAIT)
+            assert not caplog.records  # it ended on purpose, not by an exception
             assert (await client.ask(request()))[2] == b"done"
             assert peer.connections == 2
 
     run(test())
-    assert not caplog.records  # an end on purpose, not by an exception
 
 
 def test_a_request_for_an_upgrade_is_served_as_any_other_and_the_last() -> None:
