--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -336,7 +336,8 @@
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", extra: bytes = b"") -> None:
         """Write the final answer to the request under way."""
         self.request_id = 0
-        keep = self.keep and not self.listener.handler.stopping
+        # A node that stops still owes an answer to what it has read: the connection ends with the last.
+        keep = self.keep and (bool(self.waiting) or not self.listener.handler.stopping)
         lines = b"%b%d\r\n%b" % (_STATUS_LINES[status], len(body), extra)
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -303,6 +303,29 @@
     run(test())
 
 
+def test_pipelined_requests_are_all_answered_when_the_node_stops() -> None:
+    release = asyncio.Event()
+
+    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(held_back).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request() * 3)
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            stand.node.stopping = True
+            release.set()
+            for connection in (None, None, b"close"):
+                status, head, _ = await client.answer()
+                assert (status, field(head, b"Connection")) == (200, connection)
+            assert await client.end() == b""
+
+    run(test())
+
+
 def test_many_answers_at_once_do_not_nest() -> None:
     async def test() -> None:
         async with running(await Peer().start()) as stand:
