Keep following the list whatever a line of discovery holds

Cause: three malformed lines, given to a running node over loopback, were not survived. A generation of 1e999 raises OverflowError (node.py, take_list) and 100,000 open brackets raise RecursionError (discovery.py, take): neither was caught, the watch's task died without a word, and the node would have kept its old list for ever, sending to drained servers. A weight of NaN, which Python's JSON reader lets through, was taken over and made the module fail on every list. Ruled out: the four other malformed lines of the same test, which were told and followed by the whole list before as well.

Change: both errors count as a malformed line, figures must be finite, and any other exception in the watch is logged with its traceback and followed by the whole list.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -77,6 +77,10 @@
                 if not self.failing:  # one line for each stretch of failures
                     log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
                 self.failing = True
+            except Exception:
+                # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
+                log.exception("discovery: unforeseen failure; the whole list is fetched")
+                self.version = None
             # Nodes that lost discovery together must not come back together.
             await asyncio.sleep(self.retry * (0.5 + self.random.random()))
             self.retry = min(2 * self.retry, RETRY_MOST)
@@ -107,7 +111,7 @@
             if line.strip():
                 self.version = self.on_list(json.loads(line))
             self.retry, self.failing = RETRY_FIRST, False
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             # A change may have been missed with it: only the whole list brings it back.
             self.version = None
             raise DiscoveryError(f"malformed list: {error}") from None
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -75,9 +75,10 @@
         self.server: asyncio.Server | None = None
         self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
-        room = max(config.sockets - SPARE_SOCKETS, 32)
-        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, room // 2, self.attempt_ended)
-        self.listener = Listener(loop, config, self, room - room // 2)
+        # A third for servers: few requests are in flight at once, but clients keep what they have opened.
+        room = max(config.sockets - SPARE_SOCKETS, 30)
+        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, room // 3, self.attempt_ended)
+        self.listener = Listener(loop, config, self, room - room // 3)
         self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
@@ -181,7 +182,7 @@
             entries = [self.read_entry(line) for line in raw["instances"]]
             if kind is None:
                 kind = ListKind.FULL if raw["reset"] else ListKind.DELTA
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
         if kind is not ListKind.DELTA:
             named = {entry.id for entry, _, _ in entries}
@@ -205,13 +206,16 @@
 
     def read_entry(self, line: dict[str, Any]) -> tuple[ServerEntry, Address, str]:
         name, started = str(line["instanceId"]), float(line.get("startedAtMs", 0))
+        size = float(line.get("weight", 1.0))
+        if not (math.isfinite(started) and math.isfinite(size) and size >= 0):
+            raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
         entry = ServerEntry(
             id=stable_id(name.encode()),
             zone=self.config.zones.get(line.get("zone", ""), -1),
             kind=self.config.kinds.get(line.get("machineType", ""), -1),
             cell=int(line.get("cell", 0)),
             state=STATES[line["lifecycle"]],
-            size=float(line.get("weight", 1.0)),
+            size=size,
             started=started - self.unix_offset if started else 0.0,
         )
         return entry, parse_address(line["hostPort"]), name
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgercart import clients
+from badgercart import clients, discovery
 from badgercart.clients import stable_id
 from badgercart.node import MARGIN
 from badgercart.servers import ServerConnection
@@ -400,15 +400,27 @@
     assert "broken on purpose" in caplog.text
 
 
-def test_a_malformed_line_leaves_the_list_and_brings_a_whole_one() -> None:
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'{"generation": 2, "reset": true, "instances": [{}]}',
+        b'{"generation": 2, "reset": true, "instances": 7}',
+        b'{"generation": 1e999, "reset": true, "instances": []}',
+        b'{"generation": 2, "reset": false, "instances": [{"instanceId": "s-9", "lifecycle": "active",'
+        b' "hostPort": "127.0.0.1:9", "weight": NaN}]}',
+        b"[" * 100_000,
+        b"[]",
+        b"{",
+    ],
+    ids=range(7),
+)
+def test_a_malformed_line_leaves_the_list_and_brings_a_whole_one(line: bytes) -> None:
     async def test() -> None:
         peer = await Peer().start()
         async with running(peer) as stand:
             client, calls = await stand.client(), stand.agent.calls
             assert await calls.get() == "/catalog/members?watch=1&from=1"
-            stand.agent.lines.put_nowait(
-                b'{"generation": 2, "reset": true, "instances": [{"instanceId": 7}]}\n'
-            )
+            stand.agent.lines.put_nowait(line + b"\n")
             assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members"
             assert (await client.ask(request()))[0] == 200
             assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
@@ -430,6 +442,30 @@
     run(test())
 
 
+def test_a_watch_that_falls_silent_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.05)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            for _ in range(3):
+                call = await asyncio.wait_for(stand.agent.calls.get(), WAIT)
+                assert call == "/catalog/members?watch=1&from=1"
+            assert stand.node.healthy and not stand.node.pool.servers.keys() - stand.node.listed
+
+    run(test())
+
+
+def test_a_client_that_waits_for_a_go_ahead_gets_it() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            client = await stand.client()
+            head, body = request("book", body=b"ride", Expect="100-continue")[:-4], b"ride"
+            assert (await client.ask(head))[0] == 100
+            assert (await client.ask(body))[0] == 200
+
+    run(test())
+
+
 def test_health_waits_for_a_list() -> None:
     async def test() -> None:
         peer = await Peer().start()
