Survive an address that is none, and a known list of the wrong shape

A host that no lookup can encode raises UnicodeError in connect() (servers.py), which is no OSError: the attempt's task died and the attempt waited for its whole limit. A 'known' that is no object failed after read_config had let it pass (node.py), with a traceback where one line and exit status 2 are due.

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -25,7 +25,7 @@
     discovery: Address
     seed: int
     sockets: int  # file descriptors that the process may hold
-    known: dict[str, Any] | None  # the server list as this node last had it
+    known: dict[str, Any]  # the server list as this node last had it; empty: none
     settings: Settings
     classes: dict[bytes, int]  # numbers of the names, in the order of the settings
     tenants: dict[bytes, int]
@@ -57,7 +57,7 @@
             discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
             seed=int(raw["seed"], 16),
             sockets=int(raw["limits"]["sockets"]),
-            known=raw.get("known"),
+            known=dict(raw.get("known") or {}),
             settings=read_settings(json.dumps(settings).encode()),
             classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
             tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -89,7 +89,7 @@
             Log: self.log,
             Subscribe: self.subscribe,
         }
-        if config.known is not None and config.known.get("instances"):
+        if config.known.get("instances"):
             try:
                 self.discovery.version = self.take_list(config.known, ListKind.CACHED)
             except ValueError as error:
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -243,7 +243,7 @@
         try:
             async with asyncio.timeout(self.dial_timeout / 1000):
                 await self.loop.create_connection(lambda: connection, *server.address)
-        except OSError:  # TimeoutError is one of them
+        except (OSError, UnicodeError):  # no connection in time, or an address that is none
             self.end(attempt, Result.UNREACHABLE)
             return
         finally:
--- a/tests/net.py
+++ b/tests/net.py
@@ -176,7 +176,7 @@
         "discovery": ("127.0.0.1", discovery),
         "seed": 1,
         "sockets": 1024,
-        "known": None,
+        "known": {},
         "settings": Settings(classes=classes, may_cancel=True, max_attempts=attempts, max_retry_after=600.0),
         "classes": {name.encode(): i for i, name in enumerate(CLASSES)},
         "tenants": {},
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -102,6 +102,17 @@
     run(test())
 
 
+def test_a_server_whose_address_is_none_is_unreachable() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            stand.node.pool.servers[stable_id(b"s-1")].address = ("a" * 70 + ".\udc80", 9)
+            status, _, _ = await (await stand.client()).ask(request())
+            assert (status, (await stand.outcome()).result) == (503, Result.UNREACHABLE)
+
+    run(test())
+
+
 def test_a_silent_server_times_out_and_its_connection_is_closed() -> None:
     async def test() -> None:
         peer = await Peer(stay_silent).start()
@@ -469,7 +480,7 @@
 def test_health_waits_for_a_list() -> None:
     async def test() -> None:
         peer = await Peer().start()
-        async with running(peer, known=None) as stand:
+        async with running(peer, known={}) as stand:
             client = await stand.client()
             await stand.event(ServerList)
             assert (await client.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -39,6 +39,7 @@
     [
         ({"listen": "127.0.0.1"}, "no host:port"),
         ({"seed": "xyz"}, "xyz"),
+        ({"known": "none"}, "dictionary"),
         ({"settings": {}}, "Allowed"),
         ({"limits": None}, "NoneType"),
         (None, "ROUTER_CONFIG"),
