Tell the module a client's hint and retry mark

Cause: reading PROTOCOL once more beside interface.py: Work-Hint and Client-Retry went on to the servers but not to the module, which takes a hint into account when it judges whether an answer can still be in time (rules.py, attempt). A hint that is no number is left out, since it is a guess only.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -23,6 +23,7 @@
 HEALTH_PATH = b"/_health"
 
 _TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
+_DIGITS = re.compile(rb"\d{1,9}")
 _OWN = frozenset(  # headers that concern one connection only, or that each attempt writes anew
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"expect", b"content-length", b"request-timeout")
@@ -53,6 +54,8 @@
     key: int
     sent: float  # as near as the node can tell
     timeout: float  # ms from then until the client gives up
+    hint: float  # the client's guess at the work in ms, 0: none
+    repeat: bool  # marked as the client's retry
 
 
 class Health:
@@ -129,17 +132,9 @@
     """The headers of one request: what the node reads of them, and the lines that go on."""
 
     __slots__ = (
-        "bad",
-        "expects",
-        "key",
-        "length",
-        "lines",
-        "request_id",
-        "size",
-        "tenant",
-        "timeout",
-        "whole",
-    )
+        "bad", "expects", "hint", "key", "length", "lines", "repeat", "request_id", "size", "tenant",
+        "timeout", "whole",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.lines: list[bytes] = []
@@ -149,6 +144,7 @@
         self.tenant: bytes | None = None
         self.key: bytes | None = None
         self.timeout: float | None = None
+        self.hint, self.repeat = 0.0, False
 
     def add(self, name: bytes, value: bytes) -> None:
         lower = name.lower()
@@ -168,6 +164,10 @@
                 self.timeout = float(match[1]) / (1 if match[2] == b"m" else 1000)
         elif lower == b"content-length":
             self.length = int(value)  # the parser has refused all but digits
+        elif lower == b"work-hint":
+            self.hint = int(value) / 1000 if _DIGITS.fullmatch(value) else 0.0  # a guess may be left out
+        elif lower == b"client-retry":
+            self.repeat = value == b"1"
         elif lower == b"expect":
             self.expects = value.lower() == b"100-continue"
         if lower not in _OWN:
@@ -310,7 +310,16 @@
         if method == b"POST":
             headers.lines.append(b"Content-Length: %d\r\n" % len(self.body))
         head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
-        return ClientRequest(Message(head, bytes(self.body)), cls, tenant, key, now_ms(), headers.timeout)
+        return ClientRequest(
+            message=Message(head, bytes(self.body)),
+            cls=cls,
+            tenant=tenant,
+            key=key,
+            sent=now_ms(),
+            timeout=headers.timeout,
+            hint=headers.hint,
+            repeat=headers.repeat,
+        )
 
     def next(self) -> None:
         """Begin with the next request that has come in whole."""
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -158,7 +158,8 @@
         request_id = client.request_id = self.last_id
         due = request.sent + request.timeout - MARGIN
         self.held[request_id] = Held(client, request.message, due)
-        self.tell(Request(request_id, request.cls, due, request.key, request.tenant))
+        cls, key, tenant = request.cls, request.key, request.tenant
+        self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
 
     def withdraw(self, request_id: int) -> None:
         if self.held.pop(request_id, None) is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,7 @@
 from badgercart.clients import stable_id
 from badgercart.node import MARGIN
 from badgercart.servers import ServerConnection
-from cottonhall.interface import Outcome, Result, Send, ServerList, State, Withdrawn
+from cottonhall.interface import Outcome, Request, Result, Send, ServerList, State, Withdrawn
 from tests.net import (
     OK,
     WAIT,
@@ -288,6 +288,23 @@
     run(test())
 
 
+def test_the_module_is_told_what_the_client_says_of_a_request() -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), tenants={b"acme": 0, b"ajax": 1}) as stand:
+            client = await stand.client()
+            assert (await client.ask(request(Tenant="nobody")))[0] == 400
+            data = request("book", key="ride/42", Tenant="ajax", Work_Hint="2500", Client_Retry="1")
+            assert (await client.ask(data))[0] == 200
+            told = await stand.event(Request)
+            assert (told.cls, told.tenant, told.key) == (1, 1, stable_id(b"42"))
+            assert (told.hint, told.repeat) == (2.5, True)
+            assert (await client.ask(request(Tenant="acme", Work_Hint="much")))[0] == 200
+            told = await stand.event(Request)
+            assert (told.cls, told.tenant, told.hint, told.repeat) == (0, 0, 0.0, False)
+
+    run(test())
+
+
 def test_time_is_kept_back_for_the_way_to_the_client() -> None:
     async def test() -> None:
         peer = await Peer().start()
