Read the configuration anew on SIGHUP and follow its discovery

Now the file is read anew, its discovery holds from then on, the old watch is left at once and the whole list is taken from the new address. A bad or half-written file is one line. A server of the list that does not answer the whole-list call is given up after 1.5 s instead of 4.5 s: what it has to tell counts as told 4 s after the signal. Test: seen to fail without the handler (the node has ended).

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -20,6 +20,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)
     gc.collect()
     gc.freeze()  # what is there now stays: the collector need not look at it again
     await node.start()
@@ -28,6 +29,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a node that can read its file anew
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         config = read_config(os.environ)
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -70,5 +70,10 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from None
-    except (TypeError, ValueError, AttributeError, WireError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError, RecursionError, WireError) as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+def reread_discovery(environ: Mapping[str, str]) -> Address:
+    """Discovery as the file has it now, whatever ROUTER_DISCOVERY said; the rest must be sound too."""
+    return read_config({k: v for k, v in environ.items() if k != "ROUTER_DISCOVERY"}).discovery
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -17,7 +17,7 @@
 # An empty line is due every 2 s, and a change counts as told after 6 s, also one that never arrived: a
 # watch that has said nothing for this long, in s, is opened anew in time to hear of it.
 SILENCE = 4.5
-CALL_TIME = 2.0  # s for a connection to come up
+CALL_TIME = 1.5  # s for a connection to come up, and for each part of a whole list
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
 MAX_LINE = 8 << 20  # bytes
 
@@ -42,8 +42,8 @@
     def on_message_complete(self) -> None:
         self.complete = True
 
-    async def more(self, reader: asyncio.StreamReader) -> None:
-        async with asyncio.timeout(SILENCE):
+    async def more(self, reader: asyncio.StreamReader, patience: float) -> None:
+        async with asyncio.timeout(patience):
             chunk = await reader.read(65536)
         if not chunk:
             raise DiscoveryError("the connection ended")
@@ -66,6 +66,23 @@
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.retry = RETRY_FIRST
         self.failing = False
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    def move(self, address: Address) -> None:
+        """Leave the old watch at once. Another service counts its versions anew: fetch the whole list."""
+        if address == self.address:
+            return  # asked again and again, it must not begin again and again
+        self.close()
+        self.address, self.version = address, None
+        self.retry, self.failing = RETRY_FIRST, False
+        self.start()
 
     async def run(self) -> None:
         while True:
@@ -93,7 +110,7 @@
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
             body = Body()
             while not body.complete:
-                await body.more(reader)
+                await body.more(reader, CALL_TIME if whole else SILENCE)
                 if not whole:
                     *lines, rest = body.data.split(b"\n")
                     body.data = rest
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -12,12 +12,12 @@
 import random
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
-from badgercart.config import Address, Config, parse_address
+from badgercart.config import Address, Config, ConfigError, parse_address, reread_discovery
 from badgercart.discovery import Discovery
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
@@ -73,7 +73,6 @@
         self.handling = False
         self.healthy = self.stopping = False
         self.server: asyncio.Server | None = None
-        self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
         # A third for servers: few requests are in flight at once, but clients keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
@@ -225,9 +224,19 @@
 
     async def start(self) -> None:
         self.server = await self.listener.start()
-        self.watch = self.loop.create_task(self.discovery.run())
+        self.discovery.start()
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Follow the discovery that the file names now. All else takes a restart: the policy lives by it."""
+        try:
+            address = reread_discovery(environ)
+        except ConfigError as error:
+            log.error("the configuration stays as it was: %s", error)
+            return
+        log.info("configuration read: discovery at %s:%d", *address)
+        self.discovery.move(address)
+
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
@@ -248,5 +257,4 @@
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
-        if self.watch is not None:
-            self.watch.cancel()
+        self.discovery.close()
--- a/tests/net.py
+++ b/tests/net.py
@@ -81,12 +81,15 @@
 
 
 class Agent:
-    """Discovery. Lines put into `lines` go out on the watch; None ends it. `calls` has every target."""
+    """Discovery. Lines put into `lines` go out on the watch; None ends it.
+
+    `calls` has every target, `ended` each end of a connection."""
 
     def __init__(self, instances: list[dict[str, Any]], generation: int = 1) -> None:
         self.whole = {"generation": generation, "reset": True, "instances": instances}
         self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.calls: asyncio.Queue[str] = asyncio.Queue()
+        self.ended: asyncio.Queue[int] = asyncio.Queue()
 
     async def start(self) -> Agent:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -107,13 +110,20 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-            while (line := await self.lines.get()) is not None:
-                writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+            pushing = asyncio.ensure_future(self.pushed(writer))
+            await reader.read()  # until the node leaves
+            pushing.cancel()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.ended.put_nowait(1)
             writer.close()
 
+    async def pushed(self, writer: asyncio.StreamWriter) -> None:
+        while (line := await self.lines.get()) is not None:
+            writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+        writer.close()
+
 
 class Client:
     """One connection to the node, driven by hand."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,13 +9,15 @@
 import signal
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
 
-from tests.net import WAIT, Agent, Client, Peer, Script, answer_ok, field, request
+from tests.net import WAIT, Agent, Client, Peer, answer_ok, field, request
 from tests.test_wire import SETTINGS
 
 COMMAND = [sys.executable, "-B", "-m", "badgercart"]
@@ -58,6 +60,86 @@
     assert words in done.stderr and done.stderr.count("\n") == 1
 
 
+class Process:
+    """The node as a program of its own, with what it logs."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+        self.lines: list[str] = []
+
+    async def line(self, pattern: str) -> re.Match[str]:
+        """The next line of the log that matches."""
+        assert self.process.stderr is not None
+        while True:
+            line = (await asyncio.wait_for(self.process.stderr.readline(), WAIT)).decode()
+            assert line, "the node has ended"
+            self.lines.append(line)
+            if match := re.search(pattern, line):
+                return match
+
+    async def listening(self) -> None:
+        self.port = int((await self.line(r"listens on 127\.0\.0\.1:(\d+)"))[1])
+        await self.line("list 1")
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+@asynccontextmanager
+async def started(path: Path, discovery: int, **variables: str) -> AsyncIterator[Process]:
+    path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{discovery}"}))
+    process = await asyncio.create_subprocess_exec(
+        *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)} | variables, stderr=asyncio.subprocess.PIPE
+    )
+    node = Process(process)
+    try:
+        await node.listening()
+        yield node
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def test_sighup_moves_to_the_discovery_that_the_file_names(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        first, second = await Agent([old.entry()]).start(), await Agent([new.entry("s-2")], 7).start()
+        path = tmp_path / "config.json"
+        # The variable wins at the start; from the signal on the file does.
+        variable = {"ROUTER_DISCOVERY": f"127.0.0.1:{first.port}"}
+        async with started(path, 1, **variable) as node:
+            while "watch" not in await asyncio.wait_for(first.calls.get(), WAIT):
+                pass
+            for half in (
+                "{",
+                "",
+                json.dumps(raw_config())[:200],
+                "[" * 100_000,
+                json.dumps({"discovery": 1}),
+            ):
+                path.write_text(half)
+                node.process.send_signal(signal.SIGHUP)
+                await node.line("ERROR the configuration stays as it was")
+            client = await node.client()
+            assert (await client.ask(request()))[0] == 200
+            path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{second.port}"}))
+            node.process.send_signal(signal.SIGHUP)
+            assert await asyncio.wait_for(second.calls.get(), WAIT) == "/catalog/members"
+            await asyncio.wait_for(first.ended.get(), WAIT)  # of the first whole list
+            await asyncio.wait_for(first.ended.get(), WAIT)  # of the watch
+            assert await asyncio.wait_for(second.calls.get(), WAIT) == "/catalog/members?watch=1&from=7"
+            assert (await client.ask(request()))[0] == 200
+            assert (old.requests.qsize(), new.requests.qsize()) == (1, 1)
+            node.process.send_signal(signal.SIGHUP)  # nothing new: the watch stays
+            await node.line("configuration read")
+            second.push(8, [old.entry()], reset=True)
+            await node.line("list 8")
+            assert second.calls.empty() and first.calls.empty()
+
+    uvloop.run(test())
+
+
 def test_sigterm_answers_what_is_held_and_what_still_comes(tmp_path: Path) -> None:
     release = asyncio.Event()
 
@@ -65,34 +147,18 @@
         await release.wait()
         await answer_ok(peer, head, writer)
 
-    async def test(script: Script) -> None:
-        peer = await Peer(script).start()
+    async def test() -> None:
+        peer = await Peer(held_back).start()
         agent = await Agent([peer.entry()]).start()
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
-        node = await asyncio.create_subprocess_exec(
-            *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
-        )
-        assert node.stderr is not None
-        try:
-            port, listed, lines = 0, False, node.stderr
-            while not (port and listed):
-                line = (await asyncio.wait_for(lines.readline(), WAIT)).decode()
-                assert line
-                if match := re.search(r"listens on 127\.0\.0\.1:(\d+)", line):
-                    port = int(match[1])
-                listed = listed or "list 1" in line
-
-            async def client() -> Client:
-                return Client(*await asyncio.open_connection("127.0.0.1", port))
-
-            holder, idle = await client(), await client()
+        async with started(tmp_path / "config.json", agent.port) as node:
+            holder, idle = await node.client(), await node.client()
             assert (await idle.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
             holder.writer.write(request())
             await asyncio.wait_for(peer.requests.get(), WAIT)
-            node.send_signal(signal.SIGTERM)
+            node.process.send_signal(signal.SIGTERM)
             assert await idle.end() == b""  # an idle connection is closed
-            late = await client()  # new ones are still taken
+            node.process.send_signal(signal.SIGHUP)  # harmless by now
+            late = await node.client()  # new ones are still taken
             late.writer.write(request())
             await asyncio.wait_for(peer.requests.get(), WAIT)
             release.set()
@@ -100,10 +166,6 @@
                 status, head, _ = await waiting.answer()
                 assert (status, field(head, b"Connection")) == (200, b"close")
                 waiting.writer.close()
-            assert await asyncio.wait_for(node.wait(), WAIT) == 0
-        finally:
-            if node.returncode is None:
-                node.kill()
-                await node.wait()
+            assert await asyncio.wait_for(node.process.wait(), WAIT) == 0
 
-    uvloop.run(test(held_back))
+    uvloop.run(test())
