--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -16,10 +16,9 @@
 import httptools
 
 from badgercart.config import Config
-from badgercart.servers import MAX_BODY, Message, now_ms
+from badgercart.servers import MAX_BODY, MAX_HEAD, Message, now_ms
 from cottonhall.interface import Effect
 
-MAX_HEAD = 16384  # bytes of request line and headers
 MAX_REQUEST = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole request, the framing of its body included
 MAX_WAITING = 8  # requests sent ahead on one connection, after which it is read no further
 SLICE = 4096  # bytes parsed at a time: what is read at once may hold hundreds of requests
@@ -28,7 +27,8 @@
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
 SWEEP = 0.2  # s between looks for connections whose time is up
 GREETING = 0.05  # s in which a new client is sure to be heard, before it may have to make room for others
-SETTLED = 2.0  # s that a connection is left idle in any case: its client may be about to use it again
+HASTE = 0.3  # s in which a request comes in unless its client is in no hurry
+SETTLED = 2.0  # s of standing idle after which its client has hardly any use for a connection
 ACCEPTS = 64  # connections taken over in one go, before those that are there are read
 HEALTH_PATH = b"/_health"
 
@@ -185,7 +185,13 @@
         if self.evicted in self.connections:
             return True  # it is on its way out
         now = self.loop.time()
-        for wait, least in ((self.silent, GREETING), (self.ending, GREETING), (self.idle, SETTLED)):
+        for wait, least in (
+            (self.silent, GREETING),
+            (self.ending, GREETING),
+            (self.idle, SETTLED),
+            (self.arriving, HASTE),
+            (self.idle, 0.0),
+        ):
             for client, since in wait.items():
                 if now - since < least:
                     break
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -43,7 +43,7 @@
 )
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
-SPARE_SOCKETS = 64  # descriptors for the listener, discovery, files, and connections that are closing
+SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
@@ -73,10 +73,11 @@
         self.handling = False
         self.healthy = self.stopping = False
         self.listed: set[int] = set()  # servers in the list
-        # A third for servers: few requests are in flight at once, but clients keep what they have opened.
+        # A request in flight holds one on either side, but clients also keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
-        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, room // 3, self.attempt_ended)
-        self.listener = Listener(loop, config, self, room - room // 3)
+        servers = room * 3 // 8
+        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended)
+        self.listener = Listener(loop, config, self, room - servers)
         self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
@@ -109,7 +110,7 @@
                         self.perform[type(action)](action)
                 except Exception:
                     # One request must not take the node down with it; it still is owed an answer.
-                    log.exception("the policy failed on %s", type(event).__name__)
+                    log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
                     if isinstance(event, Request | Outcome):
                         self.answer(event.id, 500)
                     elif isinstance(event, Timer):
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +16,9 @@
 from cottonhall.interface import Result, State
 
 MAX_BODY = 65536
+MAX_HEAD = 16384  # bytes of status line and headers, those of interim answers included
+MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole answer, the framing of its body included
+MAX_INTERIM = 8  # answers 1xx ahead of the final one
 IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
 LAST_LOOK = 0.001  # s, one turn of the loop, between an attempt's time and its end
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
@@ -67,6 +71,7 @@
     state: State
     started: float
     version: int = 0
+    out: int = 0  # attempts
     idle: list[ServerConnection] = field(default_factory=list)  # the most recently used last
 
 
@@ -74,6 +79,7 @@
     """One connection; it carries one attempt at a time."""
 
     transport: asyncio.Transport
+    parser: httptools.HttpResponseParser
 
     def __init__(self, pool: ServerPool, server: Server) -> None:
         self.pool = pool
@@ -81,8 +87,10 @@
         self.version = server.version
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
-        self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
+        self.size = 0  # bytes of the answer so far
+        self.interim = 0
+        self.whole_head = False
         self.not_started = False
         self.content_type = b""
         self.complete = False
@@ -92,8 +100,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
+        self.parser = httptools.HttpResponseParser(self)
+        self.fd = transport.get_extra_info("socket").fileno()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.unlink()
         self.pool.connections.discard(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
@@ -103,10 +114,24 @@
             self.attempt = None
             self.pool.end(attempt, Result.RESET)
 
+    def unlink(self) -> None:
+        """The parser refers back to its connection: both would wait for the cyclic collector."""
+        if hasattr(self, "parser"):
+            del self.parser
+
+    def quiet(self) -> bool:
+        """Whether it is open and nothing lies unread in it, which would pass for the next answer.
+
+        What came right behind the last answer, or a close, may not have reached the loop yet."""
+        poll = select.poll()
+        poll.register(self.fd, select.POLLIN)
+        return not self.transport.is_closing() and not poll.poll(0)
+
     def start(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
-        self.complete = False
+        self.complete = self.whole_head = False
+        self.size = self.interim = 0
         left = max(1, int(attempt.deadline - now_ms()))
         message = attempt.message
         self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
@@ -115,6 +140,7 @@
         if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
             self.transport.abort()
             return
+        self.size += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -127,6 +153,8 @@
             return
         if self.complete:
             self.finish()
+        elif self.size > (MAX_ANSWER if self.whole_head else MAX_HEAD):
+            self.malformed("over the limit")
 
     def malformed(self, what: str) -> None:
         attempt, self.attempt = self.attempt, None
@@ -165,6 +193,8 @@
         if self.complete:
             return
         lower = name.lower()
+        if lower == b"content-length" and int(value) > MAX_BODY:
+            raise ValueError("a length over the limit")  # before the body comes, which may never end
         if lower == b"not-started":
             self.not_started = value == b"1"
         elif lower == b"content-type":
@@ -177,8 +207,17 @@
             raise ValueError("a body over the limit")  # reaches data_received as a parser error
         self.body += body
 
+    def on_headers_complete(self) -> None:
+        if not self.complete:
+            self.whole_head = self.parser.get_status_code() >= 200
+
     def on_message_complete(self) -> None:
-        if self.complete or self.parser.get_status_code() < 200:  # an interim answer
+        if self.complete:
+            return
+        if not self.whole_head:
+            self.interim += 1
+            if self.interim > MAX_INTERIM:
+                raise ValueError("too many interim answers")
             return
         self.complete = True
         self.keep = self.parser.should_keep_alive()
@@ -210,7 +249,8 @@
         """Take over a line of the server list."""
         server = self.servers.get(server_id)
         if server is None:
-            self.servers[server_id] = Server(server_id, address, state, started)
+            if state is not State.GONE:
+                self.servers[server_id] = Server(server_id, address, state, started)
         elif (server.address, server.state, server.started) != (address, state, started):
             # Connections from before a restart are dead, and a server that drains gets nothing new.
             server.address, server.state, server.started = address, state, started
@@ -218,19 +258,26 @@
             for connection in server.idle:
                 connection.transport.close()
             server.idle.clear()
+            self.forget(server)
+
+    def forget(self, server: Server) -> None:
+        """Ids are ever new: a server that is gone leaves with its last attempt."""
+        if server.state is State.GONE and not server.out and self.servers.get(server.id) is server:
+            del self.servers[server.id]
 
     def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
         server = self.servers[server_id]
         now = now_ms()
         attempt = Attempt(request_id, number, server, server.version, message, now, now + limit)
         self.attempts[request_id, number] = attempt
+        server.out += 1
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
         while server.idle:
             connection = server.idle.pop()
-            if not connection.transport.is_closing() and now - connection.idle_since < self.keep_idle:
+            if now - connection.idle_since < self.keep_idle and connection.quiet():
                 connection.start(attempt)
                 return
-            connection.transport.close()
+            connection.transport.abort()
         attempt.dial = self.loop.create_task(self.connect(attempt))
 
     async def connect(self, attempt: Attempt) -> None:
@@ -246,8 +293,12 @@
             async with asyncio.timeout(self.dial_timeout / 1000):
                 await self.loop.create_connection(lambda: connection, *server.address)
         except (OSError, UnicodeError):  # no connection in time, or an address that is none
+            connection.unlink()
             self.end(attempt, Result.UNREACHABLE)
             return
+        except asyncio.CancelledError:
+            connection.unlink()
+            raise
         finally:
             self.dials -= 1
         attempt.dial = None
@@ -262,11 +313,13 @@
             connection.start(attempt)
 
     def close_an_idle_one(self) -> bool:
-        for server in self.servers.values():
-            if server.idle:
-                server.idle.pop(0).transport.abort()
-                return True
-        return False
+        longest = [server.idle[0] for server in self.servers.values() if server.idle]
+        if not longest:
+            return False
+        connection = min(longest, key=lambda c: c.idle_since)
+        connection.server.idle.remove(connection)
+        connection.transport.abort()
+        return True
 
     def park(self, connection: ServerConnection) -> None:
         """Keep a connection for the next attempt, if its server still is the one it was opened to."""
@@ -314,4 +367,6 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         attempt.dial = attempt.connection = None
+        attempt.server.out -= 1
+        self.forget(attempt.server)
         self.on_end(attempt, result, answer)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -372,11 +372,10 @@
 
     def on_outcome(self, outcome: Outcome) -> None:
         server = self.servers.get(outcome.server)
-        if server is None:
-            raise LookupError(f"an outcome names server {outcome.server}, which no list has named")
-        job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0))
-        if job is None:
-            return  # told twice
+        job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0)) if server else (None, 0.0)
+        if server is None or job is None:
+            return  # told twice, the server may be forgotten by now
+        self.forget(server)
         self.flying -= 1
         self.note_end(job, outcome)
         self.learn(server, outcome, job)
@@ -499,9 +498,16 @@
         points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
         self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
 
+    def forget(self, server: Server) -> None:
+        """Ids are ever new: a server that is gone leaves with the outcome of its last attempt."""
+        if server.entry.state is State.GONE and not server.open:
+            self.servers.pop(server.entry.id, None)
+
     def note(self, entry: ServerEntry) -> None:
         """Take over one line of the list."""
         old = self.servers.get(entry.id)
+        if old is None and entry.state is State.GONE:
+            return
         if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
             health = [Health() for _ in self.usual]
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
@@ -509,6 +515,7 @@
                 self.servers[entry.id].open = old.open
         was_ready = old is not None and old.entry.state is State.READY
         self.servers[entry.id].entry = entry
+        self.forget(self.servers[entry.id])
         if was_ready == (entry.state is State.READY):
             return
         if was_ready:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import os
 import socket
 import time
+import weakref
 
 import pytest
 
 from badgercart.clients import stable_id
-from badgercart.servers import ServerConnection
+from badgercart.servers import Message, ServerConnection
 from cottonhall.interface import Result, Send, ServerList
 from tests.net import (
     OK,
@@ -26,6 +29,8 @@
     stay_silent,
 )
 
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 
 @pytest.mark.parametrize(
     ("script", "result"),
@@ -40,6 +45,27 @@
         (answer(b"HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
         (answer(b"no HTTP at all\r\n\r\n"), Result.ERROR),
         (answer(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + bytes(70000)), Result.ERROR),
+        (
+            answer(OK.replace(b"Content-Length: 4", b"Content-Length: 4\r\nServer-Load: \xff\xfe =,")),
+            Result.OK,
+        ),
+        (answer(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 8 + OK), Result.OK),
+        (answer(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 9 + OK), Result.ERROR),
+        (answer(b"HTTP/1.1 101 Go\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), Result.ERROR),
+        # Heads that don't end, and lengths that no answer has: over at once, not when the time is up.
+        (answer(b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 4000), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n"), Result.ERROR),
+        (answer(CHUNKS + b"11000\r\n" + bytes(0x11000)), Result.ERROR),
+        (answer(CHUNKS + b"4\r\ndone\r\n0\r\nX: " + b"y" * 200_000), Result.ERROR),
+        # Framing that can be read in two ways.
+        (answer(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone"), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone"), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\nContent-Length: 4 4\r\n\r\ndone"), Result.ERROR),
+        (answer(CHUNKS.replace(b"\r\n\r\n", b"\r\nContent-Length: 4\r\n\r\n") + b"done"), Result.ERROR),
+        (answer(CHUNKS + b"4\r\ndonedone\r\n0\r\n\r\n"), Result.ERROR),
+        (answer(b"HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\ndone"), Result.ERROR),
+        (answer(b"HTTP/1.1 200 OK\r\nContent Length: 4\r\n\r\ndone"), Result.ERROR),
         (hang_up, Result.RESET),
     ],
 )
@@ -169,6 +195,120 @@
     run(test())
 
 
+def test_a_spoilt_answer_ends_its_connection() -> None:
+    async def test() -> None:
+        peer = await Peer(answer(b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n")).start()
+        async with running(peer) as stand:
+            assert (await (await stand.client()).ask(request("pay")))[0] == 502  # it may have run
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "behind", [OK.replace(b"done", b"late"), b"\x00noise", b""], ids=["copy", "noise", "close"]
+)
+def test_what_lies_unread_in_an_idle_connection_is_no_answer(behind: bytes) -> None:
+    # The next attempt may take a connection in the same turn of the loop in which it was parked.
+    writers: list[asyncio.StreamWriter] = []
+
+    async def keep(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(keep).start()
+        async with running(peer) as stand:
+            first, second = await stand.client(), await stand.client()
+            await second.ask(b"GET /_health HTTP/1.1\r\n\r\n")
+            assert (await first.ask(request()))[0] == 200
+            pool, (connection,) = stand.node.pool, stand.node.pool.connections
+            # Behind the node's back, in the middle of a turn: the loop has no chance to read it first.
+            sock = writers[0].get_extra_info("socket")
+            if behind:
+                os.write(sock.fileno(), behind)
+            else:
+                socket.socket(fileno=os.dup(sock.fileno())).shutdown(socket.SHUT_WR)
+            assert not connection.quiet()
+            pool.send(77, 0, stable_id(b"s-1"), 5000.0, Message(request()[:-2], b""))
+            assert connection.attempt is None and connection.transport.is_closing()
+            assert (await stand.outcome()).result == Result.OK
+            assert (await stand.outcome()).id == 77
+            assert peer.connections == 2
+
+    run(test())
+
+
+def test_servers_that_are_gone_are_forgotten() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client, pool = await stand.client(), stand.node.pool
+            client.writer.write(request())
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            for generation in range(2, 40):  # some at the address of one that has gone
+                new = peer.entry(f"s-{generation}")
+                stand.node.take_list(
+                    {
+                        "generation": generation,
+                        "reset": False,
+                        "instances": [new, peer.entry(f"s-{generation - 1}", "left")],
+                    }
+                )
+            assert set(pool.servers) == {stable_id(b"s-1"), stable_id(b"s-39")}
+            client.writer.close()
+            assert (await stand.outcome()).result == Result.CANCELLED
+            assert set(pool.servers) == set(stand.node.policy.servers) == {stable_id(b"s-39")}
+            assert stand.node.listed == {stable_id(b"s-39")}
+
+    run(test())
+
+
+def test_no_room_for_a_dial_closes_the_longest_idle_connection() -> None:
+    async def test() -> None:
+        peers = [await Peer().start() for _ in range(3)]
+        async with running(*peers) as stand:
+            pool = stand.node.pool
+            for number in (2, 1):
+                pool.send(number, 0, stable_id(b"s-%d" % number), 5000.0, Message(request()[:-2], b""))
+                await stand.outcome()
+            pool.max_connections = 2
+            pool.send(3, 0, stable_id(b"s-3"), 5000.0, Message(request()[:-2], b""))
+            assert (await stand.outcome()).result == Result.OK
+            await asyncio.wait_for(peers[1].ended.get(), WAIT)
+            assert len(pool.servers[stable_id(b"s-1")].idle) == 1
+
+    run(test())
+
+
+def test_a_server_connection_leaves_nothing_to_the_cyclic_collector() -> None:
+    async def test() -> None:
+        peer = await Peer(answer(OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))).start()
+        async with running(peer) as stand:
+            pool, gone = stand.node.pool, []
+            made = ServerConnection.connection_made
+
+            def noted(self: ServerConnection, transport: asyncio.BaseTransport) -> None:
+                gone.append(weakref.ref(self))
+                made(self, transport)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(ServerConnection, "connection_made", noted)
+                gc.collect()
+                gc.disable()
+                try:
+                    for _ in range(3):
+                        assert (await (await stand.client()).ask(request()))[0] == 200
+                    async with asyncio.timeout(WAIT):
+                        while pool.connections or any(ref() is not None for ref in gone):
+                            await asyncio.sleep(0.001)
+                    assert len(gone) == 3
+                finally:
+                    gc.enable()
+
+    run(test())
+
+
 def test_a_connection_is_used_again() -> None:
     async def test() -> None:
         peer = await Peer().start()
