Do not learn a jam as growth; look at overload in proportion to the aims; 4xx of a server is final

At fault in rules.py: - learn_need took what was in flight over the quickest mean time for growth. In a jam that rises before the first slow answer lifts the mean. It is now what is sent.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -38,7 +38,7 @@
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"expect", b"content-length", b"request-timeout")
 )  # fmt: skip
-_STATUS_LINES = {s.value: f"HTTP/1.1 {s.value} {s.phrase}\r\nContent-Length: ".encode() for s in HTTPStatus}
+_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 def stable_id(name: bytes) -> int:
@@ -543,7 +543,12 @@
         # A node that stops still owes an answer to what it has read: the connection ends with the last.
         more = bool(self.waiting or self.backlog)
         keep = self.keep and (more or not self.listener.handler.stopping)
-        lines = b"%b%d\r\n%b" % (_STATUS_LINES[status], len(body), extra)
+        lines = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b" % (
+            status,
+            _PHRASES.get(status, b""),
+            len(body),
+            extra,
+        )
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
         self.transport.write(b"%b%b\r\n%b" % (lines, b"" if keep else b"Connection: close\r\n", body))
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -168,8 +168,13 @@
 
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         request_id = attempt.request_id
-        if result is Result.OK and answer is not None and (held := self.held.pop(request_id, None)):
-            held.client.answer(200, answer.body, answer.content_type)
+        final = result is Result.OK
+        if answer is not None and 400 <= answer.status < 500 and answer.status != 429:
+            # The request is at fault, wherever it goes: it must neither go round the servers nor count
+            # against them, or one bad client would have them all taken for broken. 429 would be a refusal.
+            final, result = True, Result.CANCELLED
+        if final and answer is not None and (held := self.held.pop(request_id, None)):
+            held.client.answer(answer.status, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
         self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed))
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -17,6 +17,9 @@
 )  # fmt: skip
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
+AIM = (
+    400.0  # ms: where a class wants its answers sooner, jams come and go sooner, and overload is seen sooner
+)
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
 ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
 IN_FLIGHT_FROM, IN_FLIGHT_FULL = 0.9, 1.4  # overload begins and is 1 at these multiples of a fleet's need
@@ -109,6 +112,7 @@
         self.ring: list[tuple[int, int]] = []  # places of its servers
         self.jobs: dict[int, Job] = {}
         n = len(settings.classes)
+        self.pace = min(1.0, min(c.aim for c in settings.classes) / AIM)
         self.worths = [c.worth * w for w in (1.0, settings.over_quota_worth) for c in settings.classes]
         self.usual = [c.aim / 4 for c in settings.classes]  # learned answer time by class
         self.offered = [1e-9] * (2 * n)  # recent requests, like worths: by class, then by class beyond quota
@@ -119,6 +123,7 @@
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
         self.errors = 0.0  # their share that failed
         self.flying, self.in_flight, self.need = 0, 0.0, 1.0  # open attempts: now, averaged, when busy
+        self.sent, self.sending = 0, 0.0  # attempts since upkeep, and a ms on average
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
@@ -157,7 +162,7 @@
     # Requests in: score, cut, first attempt.
 
     def on_request(self, request: Request) -> None:
-        if self.now - self.upkeep_at >= UPKEEP:
+        if self.now - self.upkeep_at >= UPKEEP * self.pace:
             self.upkeep()
         settings, group, tenant = self.settings, request.cls, request.tenant
         if not 0 <= group < len(settings.classes):
@@ -188,7 +193,7 @@
         self.attempt(job)
 
     def upkeep(self) -> None:
-        passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP
+        passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
         self.upkeep_at = self.now
         leak = passed / 1000 / self.settings.group_size
         used = zip(self.quota_used, self.settings.quotas, strict=True)
@@ -220,9 +225,12 @@
 
     def set_cut(self, passed: float) -> None:
         # Of few requests held most is chance: then it looks at a longer time.
-        settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP)
-        self.in_flight += (self.flying - self.in_flight) * min(1.0, passed / settle)
-        keep = 1 - min(0.5, passed / ERROR_TIME)  # so that a full stop is not for ever
+        settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP) * self.pace
+        part = min(1.0, passed / settle)
+        self.in_flight += (self.flying - self.in_flight) * part
+        self.sending += (self.sent / max(passed, 1.0) - self.sending) * part
+        self.sent = 0
+        keep = 1 - min(0.5, passed / (ERROR_TIME * self.pace))  # so that a full stop is not for ever
         self.failed, self.seen = self.failed * keep, self.seen * keep
         self.errors = self.failed / (self.seen + PRIOR)
         self.learn_need(passed)
@@ -238,16 +246,17 @@
     def learn_need(self, passed: float) -> None:
         """What a busy fleet needs in flight: its best rate of timely answers times their quickest time."""
         calm = self.errors < ERRORS_FROM / 2
-        self.age = min(self.age + passed, RATE_TIME)  # a young node has no more to average over
+        self.age = min(self.age + passed, RATE_TIME * self.pace)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
-        self.best_rate = max(self.best_rate * (1 - passed / BEST_TIME), self.rate)
-        self.carried = max(self.carried * (1 - passed / BEST_TIME), self.rate / self.warm)
+        self.best_rate = max(self.best_rate * (1 - passed / (BEST_TIME * self.pace)), self.rate)
+        self.carried = max(self.carried * (1 - passed / (BEST_TIME * self.pace)), self.rate / self.warm)
         self.met = 0
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
-            # Growing traffic is in flight before it is answered; few answers would show slowness too late.
-            if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2:
-                self.best_rate = max(self.best_rate, self.in_flight / self.least)
+            # Growing traffic is sent before it is answered; few answers would show slowness too late. What is
+            # in flight tells no growth: it grows too when answers slow down, before the first one shows it.
+            if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME * self.pace > SAMPLE / 2:
+                self.best_rate = max(self.best_rate, self.sending)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
         self.need = max(self.sized, margin * self.best_rate * self.least)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
@@ -283,6 +292,7 @@
             turn.out += 1
         job.tries += 1
         self.flying += 1
+        self.sent += 1
         server.recent += 1
         self.total_recent += 1
         self.out.append(Send(request.id, server.entry.id, end - self.now))
@@ -422,7 +432,7 @@
         wanted = self.settings.classes[cls]
         if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
             self.met += 1
-            self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME))
+            self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME * self.pace))
             self.mean += (outcome.elapsed - self.mean) / self.answers
         if bad:
             self.suspect(server, cls, result)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -330,6 +330,15 @@
     assert cuts[-1] < 1.0 and served > 200, (cuts[::20], served)
 
 
+@pytest.mark.parametrize("aim", [100.0, 400.0])
+def test_a_jam_is_not_learned_as_growth(aim: float) -> None:
+    # What was in flight counted as growth until the first slow answers had lifted their mean time: 45 were
+    # held to be needed where 9 had done, and the servers were driven until they failed (churn, node log).
+    stage = Stage(settings(classes=(replace(SAFE, aim=aim, deadline=5 * aim),)), servers=10)
+    feed(stage, 300, 3, 20.0)
+    assert feed(stage, 600, 0.4, 80.0) > 60  # four times as slow, and twice as much
+
+
 def test_cold_server_gets_less_than_its_warm_peers() -> None:
     stage = Stage(settings(classes=(UNSAFE,)), servers=10)
     counts = []
