--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -157,6 +157,7 @@
         # comes back here.
         if len(self.connections) >= self.limit and not self.make_room():
             self.pause()
+            self.loop.call_later(GREETING, self.resume)
         for _ in range(min(ACCEPTS, self.limit - len(self.connections))):
             try:
                 sock, _ = self.socket.accept()
@@ -208,7 +209,8 @@
         self.resume()
 
     def close_idle(self) -> None:
-        for client in [*self.silent, *self.idle]:
+        """What a new client is about to send is still heard."""
+        for client in [*self.overdue(self.silent, self.loop.time() - GREETING), *self.idle]:
             client.transport.close()
 
     def sweep(self) -> None:
@@ -219,9 +221,15 @@
         for client in self.overdue(self.arriving, now - REQUEST_TIME):
             client.refuse(408)
             client.next()
-        for wait, limit in ((self.silent, REQUEST_TIME), (self.idle, KEEP_ALIVE), (self.ending, LINGER)):
-            for client in self.overdue(wait, now - limit):
-                client.transport.abort()  # a client that does not read must not keep its connection
+        # A client that does not read its answer has longer than one that has it, but must not stay for ever.
+        told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
+        for client in (
+            *told,
+            *self.overdue(self.silent, now - REQUEST_TIME),
+            *self.overdue(self.idle, now - KEEP_ALIVE),
+            *self.overdue(self.ending, now - KEEP_ALIVE),
+        ):
+            client.transport.abort()
 
     @staticmethod
     def overdue(wait: Wait, before: float) -> list[ClientConnection]:
@@ -404,7 +412,7 @@
             self.transport.pause_reading()
 
     def read_on(self) -> None:
-        if self.paused:
+        if self.paused and not self.transport.is_closing():
             self.paused = False
             self.transport.resume_reading()
 
@@ -526,7 +534,7 @@
         listener = self.listener
         if self.busy:
             self.put(None)
-        elif self.ended:
+        elif self.ended and not self.waiting:
             self.put(listener.ending)
         elif self.full or (self.served and not self.reading):
             self.put(listener.idle)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -426,6 +426,30 @@
     run(test())
 
 
+def test_a_client_that_reads_its_last_answer_late_still_gets_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "LINGER", 0.0)
+    big = b"x" * 60_000
+    script = answer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(big), big))
+
+    async def test() -> None:
+        async with running(await Peer(script).start()) as stand:
+            client = await stand.client()
+            client.writer.transport.pause_reading()
+            client.writer.write(b"".join(request() for _ in range(300)) + b"nonsense\r\n\r\n")
+            (connection,) = [c async for c in stand.connections(1)]
+            while not connection.full:
+                await asyncio.sleep(0)
+            stand.node.listener.sweep()
+            client.writer.transport.resume_reading()
+            for _ in range(300):
+                assert (await client.answer())[2] == big
+            assert (await client.answer())[0] == 400
+            stand.node.listener.sweep()
+            assert await client.end() == b""
+
+    run(test())
+
+
 def test_trailers_do_not_pass_for_headers() -> None:
     async def test() -> None:
         peer = await Peer().start()
@@ -455,6 +479,7 @@
             (connection,) = [c async for c in stand.connections(1)]
             while not connection.full:
                 await asyncio.sleep(0)
+            assert connection in stand.node.listener.idle  # until it reads, or for KEEP_ALIVE
             taken = stand.node.last_id
             for _ in range(50):
                 await asyncio.sleep(0)
