--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -22,7 +22,7 @@
 )
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
 ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
-IN_FLIGHT_FROM, IN_FLIGHT_FULL = 0.9, 1.4  # overload begins and is 1 at these multiples of a fleet's need
+IN_FLIGHT_FROM, IN_FLIGHT_FULL = 1.0, 1.5  # overload begins and is 1 at these multiples of a fleet's need
 ERROR_TIME, REACH = 4000.0, 33.0  # the error share looks back over so many ms and so many attempts
 STALE = 100.0  # refusals after which what was seen before them has faded: they add nothing to it
 PRIOR = 4.0  # attempts taken as good beside those seen: a few that fail by chance are no overload
