--- a/tests/net.py
+++ b/tests/net.py
@@ -33,6 +33,16 @@
     return script
 
 
+def held_back(release: asyncio.Event) -> Script:
+    """A good answer, once it is released."""
+
+    async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    return script
+
+
 async def hang_up(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
     writer.transport.abort()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -18,11 +18,11 @@
 from badgercart.clients import stable_id
 from cottonhall.interface import Request, ServerList, Withdrawn
 from tests.net import (
-    OK,
     WAIT,
     Peer,
     answer,
     field,
+    held_back,
     request,
     run,
     running,
@@ -60,12 +60,8 @@
 def test_pipelined_requests_are_all_answered_when_the_node_stops() -> None:
     release = asyncio.Event()
 
-    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(OK)
-
     async def test() -> None:
-        peer = await Peer(held_back).start()
+        peer = await Peer(held_back(release)).start()
         async with running(peer) as stand:
             client = await stand.client()
             client.writer.write(request() + request() + request())
@@ -267,12 +263,8 @@
 def test_the_limit_holds_when_none_is_idle_and_the_next_is_served_in_its_turn() -> None:
     release = asyncio.Event()
 
-    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(OK)
-
     async def test() -> None:
-        peers = [await Peer(held_back).start() for _ in range(3)]
+        peers = [await Peer(held_back(release)).start() for _ in range(3)]
         async with running(*peers, sockets=96) as stand:
             listener = stand.node.listener
             listener.limit = 3
@@ -354,12 +346,8 @@
 def test_an_id_that_is_open_is_turned_away_and_free_again_after_the_answer() -> None:
     release = asyncio.Event()
 
-    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(OK)
-
     async def test() -> None:
-        peer = await Peer(held_back).start()
+        peer = await Peer(held_back(release)).start()
         async with running(peer) as stand:
             first, second, third = [await stand.client() for _ in range(3)]
             data = request()
@@ -394,12 +382,8 @@
 def test_of_hundreds_of_requests_read_at_once_few_are_taken_up_at_a_time() -> None:
     release = asyncio.Event()
 
-    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(OK)
-
     async def test() -> None:
-        peer = await Peer(held_back).start()
+        peer = await Peer(held_back(release)).start()
         async with running(peer) as stand:
             client = await stand.client()
             client.writer.write(b"".join(request() for _ in range(400)))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,7 @@
 import pytest
 import uvloop
 
-from tests.net import WAIT, Agent, Client, Peer, answer_ok, field, request
+from tests.net import WAIT, Agent, Client, Peer, field, held_back, request
 from tests.test_wire import SETTINGS
 
 COMMAND = [sys.executable, "-B", "-m", "badgercart"]
@@ -143,12 +143,8 @@
 def test_sigterm_answers_what_is_held_and_what_still_comes(tmp_path: Path) -> None:
     release = asyncio.Event()
 
-    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        await answer_ok(peer, head, writer)
-
     async def test() -> None:
-        peer = await Peer(held_back).start()
+        peer = await Peer(held_back(release)).start()
         agent = await Agent([peer.entry()]).start()
         async with started(tmp_path / "config.json", agent.port) as node:
             holder, idle = await node.client(), await node.client()
