Part the join from its fronts and carriers by two narrow ports

Need: the node knew one kind of client and one way to carry out an attempt; an external processor and GraphQL need the same core with others.

Change: core/join.py holds requests and attempts and knows neither HTTP nor connections; core/ports.py says what a front (owes an answer) and a carrier (carries out an attempt) must offer. The HTTP clients and the server pool move to packages of their own as the first of each, the reading of list lines to membership/entries.py, and what a request is (class, tenant, key) to core/requests.py. An attempt's end that is told twice now counts once in the join too.

--- /dev/null
+++ b/badgercart/carriers/__init__.py
@@ -0,0 +1,1 @@
+"""Whoever carries out a decided attempt and reports how it ended."""
--- a/badgercart/servers.py
+++ b/badgercart/carriers/pool/pool.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import select
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -13,6 +12,8 @@
 import httptools
 
 from badgercart.config import Address
+from badgercart.core.clock import now_ms
+from badgercart.core.ports import Answer, Order
 from cottonhall.interface import Result, State
 
 MAX_BODY = 65536
@@ -29,10 +30,6 @@
 log = logging.getLogger("badgercart")
 
 
-def now_ms() -> float:
-    return time.monotonic() * 1000
-
-
 @dataclass(slots=True)
 class Message:
     """A request as it goes on: all but its time-out, which each attempt writes anew."""
@@ -41,15 +38,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class Answer:
-    """A server's whole answer."""
-
-    status: int
-    body: bytes
-    content_type: bytes = b""
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     request_id: int
@@ -230,6 +218,10 @@
         self.keep = self.parser.should_keep_alive()
 
 
+# Request, number of the attempt, server, result, ms that it took, and the answer where one came whole.
+OnEnd = Callable[[int, int, int, Result, float, Answer | None], None]
+
+
 class ServerPool:
     """All servers that a list has named, and all attempts that are out."""
 
@@ -239,7 +231,7 @@
         dial_timeout: float,
         idle_timeout: float,
         max_connections: int,
-        on_end: Callable[[Attempt, Result, Answer | None], None],
+        on_end: OnEnd,
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
@@ -273,11 +265,13 @@
         if server.state is State.GONE and not server.out and self.servers.get(server.id) is server:
             del self.servers[server.id]
 
-    def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
-        server = self.servers[server_id]
-        now = now_ms()
-        attempt = Attempt(request_id, number, server, server.version, message, now, now + limit)
-        self.attempts[request_id, number] = attempt
+    def send(self, order: Order) -> None:
+        server = self.servers[order.server_id]
+        now, limit = now_ms(), order.limit
+        attempt = Attempt(
+            order.request_id, order.number, server, server.version, order.work, now, now + limit
+        )
+        self.attempts[order.request_id, order.number] = attempt
         server.out += 1
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
         while server.idle:
@@ -385,4 +379,5 @@
         attempt.dial = attempt.connection = None
         attempt.server.out -= 1
         self.forget(attempt.server)
-        self.on_end(attempt, result, answer)
+        elapsed = now_ms() - attempt.started
+        self.on_end(attempt.request_id, attempt.number, attempt.server.id, result, elapsed, answer)
--- /dev/null
+++ b/badgercart/core/join.py
@@ -0,0 +1,171 @@
+"""The join: turns what fronts, carriers and membership tell into events, and actions into what is done.
+
+It decides nothing. Actions are carried out in the order in which the module gives them; events that
+arise meanwhile wait for their turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from badgercart.core.clock import now_ms
+from badgercart.core.ports import Answer, Carrier, Front, Intake, Order
+from cottonhall import Policy
+from cottonhall.interface import (
+    Action,
+    Cancel,
+    Event,
+    Fail,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    Settings,
+    Subscribe,
+    Timer,
+    Wake,
+    Withdrawn,
+)
+
+log = logging.getLogger("badgercart")
+
+
+@dataclass(slots=True)
+class Held:
+    """A request that is owed its final answer."""
+
+    front: Front
+    carrier: Carrier
+    intake: Intake
+    sends: int = 0
+
+
+class Join:
+    """All requests that are held and all attempts that are out, over every front and carrier."""
+
+    def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.policy = Policy(settings, seed)
+        self.held: dict[int, Held] = {}
+        self.out: dict[tuple[int, int], Carrier] = {}  # attempts, also of requests that are over
+        self.last_id = 0
+        self.events: deque[Event] = deque()
+        self.handling = False
+        self.perform: dict[type[Action], Callable[[Any], None]] = {
+            Send: self.send,
+            Refuse: self.refuse,
+            Fail: self.fail,
+            Cancel: self.cancel,
+            Wake: self.wake,
+            Log: self.log,
+            Subscribe: self.subscribe,
+        }
+
+    # Events in, actions out.
+
+    def tell(self, event: Event) -> None:
+        """Give the policy an event, after those that wait already."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    for action in self.policy.handle(now_ms(), event):
+                        self.perform[type(action)](action)
+                except Exception:
+                    # One request must not take the node down with it; it still is owed an answer.
+                    log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
+                    if isinstance(event, Request | Outcome):
+                        self.end(event.id, broken=True)
+                    elif isinstance(event, Timer):
+                        self.end(event.token, broken=True)
+        finally:
+            self.handling = False
+
+    def send(self, action: Send) -> None:
+        held = self.held[action.id]
+        number, held.sends = held.sends, held.sends + 1
+        limit = held.intake.due - now_ms()
+        if action.limit:
+            limit = min(limit, action.limit)
+        self.out[action.id, number] = held.carrier
+        held.carrier.send(Order(action.id, number, action.server, limit, held.intake.work))
+
+    def refuse(self, action: Refuse) -> None:
+        if (held := self.held.pop(action.id, None)) is not None:
+            held.front.refused(action.wait)
+
+    def fail(self, action: Fail) -> None:
+        self.end(action.id, broken=False)
+
+    def end(self, request_id: int, broken: bool) -> None:
+        if (held := self.held.pop(request_id, None)) is not None:
+            held.front.failed(broken)
+
+    def cancel(self, action: Cancel) -> None:
+        if (carrier := self.out.get((action.id, action.attempt))) is not None:
+            carrier.cancel(action.id, action.attempt)
+
+    def wake(self, action: Wake) -> None:
+        # Rounded up: a timer that rings early finds nothing due and would be set again at once.
+        self.loop.call_later(math.ceil(action.delay) / 1000, self.tell, Timer(action.token))
+
+    def log(self, action: Log) -> None:
+        log.info("%s", action.text)
+
+    def subscribe(self, action: Subscribe) -> None:
+        """Nothing to do: membership follows the list from its start."""
+
+    # From fronts.
+
+    def number(self) -> int:
+        """A number for a request that is about to be taken."""
+        self.last_id += 1
+        return self.last_id
+
+    def take(self, request_id: int, intake: Intake, front: Front, carrier: Carrier) -> None:
+        """Take on a request. The front may be told its answer before this returns."""
+        self.held[request_id] = Held(front, carrier, intake)
+        self.tell(
+            Request(request_id, intake.cls, intake.due, intake.key, intake.tenant, intake.hint, intake.repeat)
+        )
+
+    def withdraw(self, request_id: int) -> None:
+        """The client has gone away: nothing is owed any more."""
+        if self.held.pop(request_id, None) is not None:
+            self.tell(Withdrawn(request_id))
+
+    # From carriers.
+
+    def ended(
+        self,
+        request_id: int,
+        number: int,
+        server_id: int,
+        result: Result,
+        elapsed: float,
+        answer: Answer | None = None,
+    ) -> None:
+        """An attempt has ended, `elapsed` ms after it was sent. Told twice, it counts once."""
+        if self.out.pop((request_id, number), None) is None:
+            return
+        final = result is Result.OK
+        if answer is not None and 400 <= answer.status < 500 and answer.status != 429:
+            # The request is at fault, wherever it goes: it must neither go round the servers nor count
+            # against them, or one bad client would have them all taken for broken. 429 would be a refusal.
+            final, result = True, Result.CANCELLED
+        if final and answer is not None and (held := self.held.pop(request_id, None)):
+            held.front.answered(answer)
+        over = request_id not in self.held
+        self.tell(Outcome(request_id, server_id, over, result, number, elapsed))
--- /dev/null
+++ b/badgercart/core/names.py
@@ -0,0 +1,10 @@
+"""Numbers for names, as the policy wants them."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def stable_id(name: bytes) -> int:
+    """A number for a name, never 0, and the same at every node and after every start."""
+    return int.from_bytes(blake2b(name, digest_size=8).digest()) or 1
--- /dev/null
+++ b/badgercart/core/ports.py
@@ -0,0 +1,69 @@
+"""What the join asks of fronts and carriers, and what it hands to each.
+
+A *front* owes an answer: it hands a request to the join with `Join.take` and is told exactly one of
+answered, refused or failed, unless it withdrew the request before. A *carrier* carries out an attempt that
+the policy has decided and reports its end, once, with `Join.ended`. Both may come from the same object: a
+calling proxy asks for a decision and carries it out itself.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+
+@dataclass(slots=True)
+class Answer:
+    """A server's whole answer."""
+
+    status: int
+    body: bytes = b""
+    content_type: bytes = b""
+
+
+class Front(Protocol):
+    """Whoever owes the answer to one request. Each call is the final one for that request."""
+
+    def answered(self, answer: Answer) -> None:
+        """A server has answered: pass it on."""
+
+    def refused(self, wait: float) -> None:
+        """Not run, trying again does no harm; after `wait` ms, or when it likes where that is 0."""
+
+    def failed(self, broken: bool) -> None:
+        """Nothing is promised: the request may have run, or, where `broken`, the node itself failed."""
+
+
+class Carrier(Protocol):
+    """Whoever carries out attempts. Every `send` ends in exactly one `Join.ended` with the same numbers."""
+
+    def send(self, order: Order) -> None: ...
+
+    def cancel(self, request_id: int, number: int) -> None:
+        """Stop waiting for an attempt; its end is reported as any other."""
+
+
+@dataclass(slots=True)
+class Order:
+    """An attempt as the policy decided it."""
+
+    request_id: int
+    number: int  # of the request's attempts, from 0
+    server_id: int
+    limit: float  # ms from now until the attempt has timed out
+    work: Any  # as the front handed it in
+    fallbacks: tuple[int, ...] = ()  # servers that the carrier may turn to by itself, the first one first
+
+
+@dataclass(slots=True)
+class Intake:
+    """A checked request as a front hands it in. Times are ms on `clock.now_ms`."""
+
+    cls: int
+    tenant: int
+    key: int  # 0: none
+    due: float  # the last moment for an answer to set out
+    work: Any  # what the carrier needs to carry it out
+    hint: float = 0.0  # the client's guess at the work in ms, 0: none
+    repeat: bool = False  # marked as the client's retry
+    fallbacks: int = 0  # how many servers beside the first the carrier can turn to by itself
--- /dev/null
+++ b/badgercart/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Whoever owes an answer: one package for each way in which requests come."""
--- /dev/null
+++ b/badgercart/fronts/http/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's clients over HTTP/1.1; its entry is ``clients.Listener``."""
--- a/badgercart/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -9,15 +9,16 @@
 import socket
 from collections import deque
 from dataclasses import dataclass
-from hashlib import blake2b
 from http import HTTPStatus
 from typing import Protocol, cast
 
 import httptools
 
+from badgercart.carriers.pool.pool import MAX_BODY, MAX_HEAD, Message
 from badgercart.config import Config
-from badgercart.servers import MAX_BODY, MAX_HEAD, Message, now_ms
-from cottonhall.interface import Effect
+from badgercart.core.clock import now_ms
+from badgercart.core.ports import Answer
+from badgercart.core.requests import BadDescription, Classifier
 
 MAX_REQUEST = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole request, the framing of its body included
 MAX_WAITING = 8  # requests sent ahead on one connection, after which it is read no further
@@ -41,11 +42,6 @@
 _PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
-def stable_id(name: bytes) -> int:
-    """A number for a name, never 0, and the same at every node and after every start."""
-    return int.from_bytes(blake2b(name, digest_size=8).digest()) or 1
-
-
 log = logging.getLogger("badgercart")
 
 
@@ -98,6 +94,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, handler: Handler, limit: int) -> None:
         self.loop = loop
         self.config = config
+        self.classifier = Classifier(config)
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()  # also those that are about to close
@@ -240,28 +237,6 @@
     def overdue(wait: Wait, before: float) -> list[ClientConnection]:
         return [client for client, since in wait.items() if since < before]
 
-    def check(
-        self, parser: httptools.HttpRequestParser, url: bytes, headers: Headers
-    ) -> tuple[int, int, int]:
-        """Class, tenant and key of a request, or BadRequest."""
-        parts = url.partition(b"?")[0].split(b"/")
-        if parts[0] or len(parts) < 2:
-            raise BadRequest(400)  # no path from the root
-        cls = self.config.classes.get(parts[1])
-        if cls is None:
-            raise BadRequest(404)
-        effect = self.config.settings.classes[cls].effect
-        method = b"GET" if effect is Effect.SAFE else b"POST"
-        if parser.get_method() != method:
-            raise BadRequest(405, b"Allow: %b\r\n" % method)
-        tenant = self.config.tenants.get(headers.tenant or b"") if self.config.tenants else 0
-        if headers.bad or not headers.request_id or tenant is None:
-            raise BadRequest(400)
-        if effect is not Effect.SAFE and (headers.key is None) == (effect is Effect.KEYED):
-            raise BadRequest(400)  # keyed with no key, or a key where a repeat can't be told
-        key = stable_id(parts[-1]) if len(parts) > 2 and parts[-1] else 0
-        return cls, tenant, key
-
 
 class Headers:
     """The headers of one request: what the node reads of them, and the lines that go on."""
@@ -485,19 +460,25 @@
             if self.parser.get_method() != b"GET":
                 raise BadRequest(405, b"Allow: GET\r\n")
             return Health()
-        cls, tenant, key = self.listener.check(self.parser, url, headers)
         method = self.parser.get_method()
-        if headers.timeout is None or headers.request_id is None or (self.body and method == b"GET"):
+        if headers.bad or headers.timeout is None or (self.body and method == b"GET"):
             raise BadRequest(400)
+        try:
+            found = self.listener.classifier.read(
+                method, url, headers.request_id, headers.tenant, headers.key
+            )
+        except BadDescription as error:
+            allow = b"Allow: %b\r\n" % error.allow if error.allow else b""
+            raise BadRequest(error.status, allow) from None
         if method == b"POST":
             headers.lines.append(b"Content-Length: %d\r\n" % len(self.body))
         head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
         return ClientRequest(
             message=Message(head, bytes(self.body)),
-            name=headers.request_id,
-            cls=cls,
-            tenant=tenant,
-            key=key,
+            name=found.name,
+            cls=found.cls,
+            tenant=found.tenant,
+            key=found.key,
             sent=now_ms(),
             timeout=headers.timeout,
             hint=headers.hint,
@@ -548,6 +529,15 @@
 
     # Answers out.
 
+    def answered(self, answer: Answer) -> None:
+        self.answer(answer.status, answer.body, answer.content_type)
+
+    def refused(self, wait: float) -> None:
+        self.answer(503, extra=b"Retry-After: %.3f\r\n" % (wait / 1000) if wait else b"")
+
+    def failed(self, broken: bool) -> None:
+        self.answer(500 if broken else 502)
+
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", extra: bytes = b"") -> None:
         """Write the final answer to the request under way."""
         self.request_id = 0
--- /dev/null
+++ b/badgercart/membership/entries.py
@@ -0,0 +1,72 @@
+"""The lines of a server list, as the platform's discovery words them.
+
+Source: the protocol's page, section "Discovery".
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from badgercart.config import Address, Config, parse_address
+from badgercart.core.clock import now_ms
+from badgercart.core.names import stable_id
+from cottonhall.interface import ListKind, ServerEntry, State
+
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A server of the list: what the policy is told of it, and what only carriers and people need."""
+
+    entry: ServerEntry
+    address: Address
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class MemberList:
+    """A whole list or its changes."""
+
+    kind: ListKind
+    version: int
+    members: list[Member]
+
+
+class ListReader:
+    """Reads lists with the names of one configuration. Unix times become times of the node's clock."""
+
+    def __init__(self, config: Config) -> None:
+        self.zones, self.kinds = config.zones, config.kinds
+        self.unix_offset = time.time() * 1000 - now_ms()
+
+    def read(self, raw: Mapping[str, Any], kind: ListKind | None = None) -> MemberList:
+        """ValueError if any line is bad: a list is taken whole or not at all."""
+        try:
+            version = int(raw["generation"])
+            members = [self.read_member(line) for line in raw["instances"]]
+            if kind is None:
+                kind = ListKind.FULL if raw["reset"] else ListKind.DELTA
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+        return MemberList(kind, version, members)
+
+    def read_member(self, line: Mapping[str, Any]) -> Member:
+        name, started = str(line["instanceId"]), float(line.get("startedAtMs", 0))
+        size = float(line.get("weight", 1.0))
+        if not (math.isfinite(started) and math.isfinite(size) and size >= 0):
+            raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
+        entry = ServerEntry(
+            id=stable_id(name.encode()),
+            zone=self.zones.get(line.get("zone", ""), -1),
+            kind=self.kinds.get(line.get("machineType", ""), -1),
+            cell=int(line.get("cell", 0)),
+            state=STATES[line["lifecycle"]],
+            size=size,
+            started=started - self.unix_offset if started else 0.0,
+        )
+        return Member(entry, parse_address(line["hostPort"]), name)
--- a/tests/test_servers.py
+++ b/tests/carriers/test_pool.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from badgercart.clients import stable_id
-from badgercart.servers import Message, ServerConnection
+from badgercart.carriers.pool.pool import ServerConnection
+from badgercart.core.names import stable_id
 from cottonhall.interface import Result, Send, ServerList
 from tests.net import (
     OK,
@@ -77,7 +77,7 @@
             assert (await stand.outcome()).result == result
             assert status == (200 if result is Result.OK else 503)
             assert (field(head, b"Retry-After") is None) == (status == 200)  # who is refused is told when
-            assert not stand.node.held and not stand.node.pool.attempts
+            assert not stand.node.join.held and not stand.node.pool.attempts
 
     run(test())
 
@@ -93,7 +93,7 @@
             assert (got, body) == (status, b"bad")
             assert sum(peer.requests.qsize() for peer in peers) == 1
             assert (await stand.outcome()).result == Result.CANCELLED
-            servers = stand.node.policy.servers.values()
+            servers = stand.node.join.policy.servers.values()
             assert not any(health.fails for server in servers for health in server.health)
 
     run(test())
@@ -168,7 +168,7 @@
         peer = await Peer().start()
         async with running(peer) as stand:
             node, client = stand.node, await stand.client()
-            send = node.send
+            send = node.join.send
 
             def drained_at_once(action: Send) -> None:
                 send(action)
@@ -176,7 +176,7 @@
                     {"generation": 2, "reset": False, "instances": [peer.entry("s-1", "leaving")]}
                 )
 
-            node.perform[Send] = drained_at_once
+            node.join.perform[Send] = drained_at_once
             status, _, _ = await client.ask(request())
             assert (status, (await stand.outcome()).result) == (503, Result.UNREACHABLE)
             await asyncio.wait_for(peer.ended.get(), WAIT)
@@ -239,7 +239,7 @@
             first, second = await stand.client(), await stand.client()
             await second.ask(b"GET /_health HTTP/1.1\r\n\r\n")
             assert (await first.ask(request()))[0] == 200
-            pool, (connection,) = stand.node.pool, stand.node.pool.connections
+            (connection,) = stand.node.pool.connections
             # Behind the node's back, in the middle of a turn: the loop has no chance to read it first.
             sock = writers[0].get_extra_info("socket")
             if behind:
@@ -247,7 +247,7 @@
             else:
                 socket.socket(fileno=os.dup(sock.fileno())).shutdown(socket.SHUT_WR)
             assert not connection.quiet()
-            pool.send(77, 0, stable_id(b"s-1"), 5000.0, Message(request()[:-2], b""))
+            stand.send(77, "s-1")
             assert connection.attempt is None and connection.transport.is_closing()
             assert (await stand.outcome()).result == Result.OK
             assert (await stand.outcome()).id == 77
@@ -275,7 +275,7 @@
             assert set(pool.servers) == {stable_id(b"s-1"), stable_id(b"s-39")}
             client.writer.close()
             assert (await stand.outcome()).result == Result.CANCELLED
-            assert set(pool.servers) == set(stand.node.policy.servers) == {stable_id(b"s-39")}
+            assert set(pool.servers) == set(stand.node.join.policy.servers) == {stable_id(b"s-39")}
             assert stand.node.listed == {stable_id(b"s-39")}
 
     run(test())
@@ -287,10 +287,10 @@
         async with running(*peers) as stand:
             pool = stand.node.pool
             for number in (2, 1):
-                pool.send(number, 0, stable_id(b"s-%d" % number), 5000.0, Message(request()[:-2], b""))
+                stand.send(number, f"s-{number}")
                 await stand.outcome()
             pool.max_connections = 2
-            pool.send(3, 0, stable_id(b"s-3"), 5000.0, Message(request()[:-2], b""))
+            stand.send(3, "s-3")
             assert (await stand.outcome()).result == Result.OK
             await asyncio.wait_for(peers[1].ended.get(), WAIT)
             assert len(pool.servers[stable_id(b"s-1")].idle) == 1
@@ -343,16 +343,16 @@
         peer = await Peer().start()
         async with running(peer) as stand:
             pool, client = stand.node.pool, await stand.client()
-            send = stand.node.send
+            send = stand.node.join.send
 
             def cancelled_at_once(action: Send) -> None:
                 send(action)
                 asyncio.get_running_loop().call_soon(pool.cancel, action.id, 0)
 
-            stand.node.perform[Send] = cancelled_at_once
+            stand.node.join.perform[Send] = cancelled_at_once
             assert (await client.ask(request()))[0] == 503
             assert (await stand.outcome()).result == Result.CANCELLED
-            stand.node.perform[Send] = send
+            stand.node.join.perform[Send] = send
             assert (await client.ask(request()))[0] == 200
             assert pool.dials == 0 and len(pool.connections) == 1 and not pool.attempts
 
--- a/tests/test_node.py
+++ b/tests/core/test_join.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from badgercart.clients import stable_id
+from badgercart.core.names import stable_id
 from badgercart.node import MARGIN
 from cottonhall.interface import Outcome, Request, Result, Withdrawn
 from tests.net import (
@@ -72,7 +72,7 @@
             assert (await stand.outcome()).result == Result.CANCELLED
             await asyncio.wait_for(peer.ended.get(), WAIT)
             node = stand.node
-            assert not node.held and not node.pool.attempts and not node.listener.connections
+            assert not node.join.held and not node.pool.attempts and not node.listener.connections
 
     run(test())
 
@@ -109,16 +109,16 @@
     async def test() -> None:
         async with running(await Peer().start()) as stand:
             client = await stand.client()
-            handle = stand.node.policy.handle
+            handle = stand.node.join.policy.handle
 
             def broken(now: float, event: object) -> Any:
                 raise RuntimeError("broken on purpose")
 
-            stand.node.policy.handle = broken  # type: ignore[method-assign]
+            stand.node.join.policy.handle = broken  # type: ignore[method-assign]
             assert (await client.ask(request()))[0] == 500
-            stand.node.policy.handle = handle  # type: ignore[method-assign]
+            stand.node.join.policy.handle = handle  # type: ignore[method-assign]
             assert (await client.ask(request()))[0] == 200
-            assert not stand.node.held
+            assert not stand.node.join.held
 
     run(test())
     assert "broken on purpose" in caplog.text
@@ -131,8 +131,8 @@
             client = await stand.client()
             client.writer.write(request())
             await asyncio.wait_for(peer.requests.get(), WAIT)
-            stand.node.answer(stand.node.last_id, 502)
-            stand.node.pool.cancel(stand.node.last_id, 0)
+            stand.node.join.end(stand.node.join.last_id, broken=False)
+            stand.node.pool.cancel(stand.node.join.last_id, 0)
             assert (await client.answer())[0] == 502
             outcome: Outcome = await stand.outcome()
             assert outcome.over and outcome.result == Result.CANCELLED
@@ -154,7 +154,7 @@
     async def test() -> None:
         peers = [await Peer(hang_up).start(), await Peer(hang_up).start()]
         async with running(*peers, attempts=4) as stand:
-            stand.node.policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            stand.node.join.policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
             data = request("book")
             assert (await (await stand.client()).ask(data))[0] == 503
             for peer in peers:
--- a/tests/test_clients.py
+++ b/tests/fronts/test_http.py
@@ -14,8 +14,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgercart import clients
-from badgercart.clients import stable_id
+from badgercart.core.names import stable_id
+from badgercart.fronts.http import clients
 from cottonhall.interface import Request, ServerList, Withdrawn
 from tests.net import (
     WAIT,
@@ -479,10 +479,10 @@
             while not connection.full:
                 await asyncio.sleep(0)
             assert connection in stand.node.listener.idle  # until it reads, or for KEEP_ALIVE
-            taken = stand.node.last_id
+            taken = stand.node.join.last_id
             for _ in range(50):
                 await asyncio.sleep(0)
-            assert stand.node.last_id == taken < 300
+            assert stand.node.join.last_id == taken < 300
             client.writer.transport.resume_reading()
             for _ in range(300):
                 assert (await client.answer())[2] == big
@@ -557,7 +557,7 @@
                 await rude.end()
             assert peer.requests.empty()
             assert (await (await stand.client()).ask(request()))[0] == 200
-            assert not stand.node.held
+            assert not stand.node.join.held
 
     run(test())
 
--- a/tests/test_discovery.py
+++ b/tests/membership/test_catalog.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from badgercart import discovery
-from badgercart.clients import stable_id
+from badgercart.core.names import stable_id
+from badgercart.membership import catalog
 from cottonhall.interface import State
 from tests.net import (
     WAIT,
@@ -61,7 +61,7 @@
 
 
 def test_a_watch_that_falls_silent_is_opened_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "SILENCE", 0.05)
+    monkeypatch.setattr(catalog, "SILENCE", 0.05)
 
     async def test() -> None:
         async with running(await Peer().start()) as stand:
--- a/tests/net.py
+++ b/tests/net.py
@@ -10,8 +10,11 @@
 
 import uvloop
 
-from badgercart.clients import ClientConnection
+from badgercart.carriers.pool.pool import Message
 from badgercart.config import Config
+from badgercart.core.names import stable_id
+from badgercart.core.ports import Order
+from badgercart.fronts.http.clients import ClientConnection
 from badgercart.node import Node
 from cottonhall.interface import Effect, Outcome, RequestClass, Settings
 
@@ -222,14 +225,14 @@
         self.node = node
         self.agent = agent
         self.events: asyncio.Queue[object] = asyncio.Queue()
-        handle = node.policy.handle
+        handle = node.join.policy.handle
 
         def spy(now: float, event: Any) -> Any:
             actions = handle(now, event)
             self.events.put_nowait(event)
             return actions
 
-        node.policy.handle = spy  # type: ignore[method-assign]
+        node.join.policy.handle = spy  # type: ignore[method-assign]
 
     async def event(self, kind: type) -> Any:
         """The next event of a kind that the policy is told."""
@@ -250,6 +253,11 @@
         for connection in self.node.listener.connections:
             yield connection
 
+    def send(self, request_id: int, name: str) -> None:
+        """An attempt that no request stands behind."""
+        pool = self.node.join.out[request_id, 0] = self.node.pool
+        pool.send(Order(request_id, 0, stable_id(name.encode()), 5000.0, Message(request()[:-2], b"")))
+
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.node.listener.address))
 
--- a/tests/test_benchlink.py
+++ b/tests/policy/test_benchlink.py
@@ -10,7 +10,7 @@
 
 from cottonhall import benchlink
 from cottonhall.rules import Policy
-from tests.test_wire import EVENTS
+from tests.policy.test_wire import EVENTS
 
 EMPTY = bytes.fromhex("00000001 00000014 40c06e2000000000 00000000")
 
@@ -48,7 +48,7 @@
 
 
 def test_exception_in_the_module_is_reported_as_fatal(monkeypatch: pytest.MonkeyPatch) -> None:
-    from tests.test_wire import SETTINGS, json, struct
+    from tests.policy.test_wire import SETTINGS, json, struct
 
     def broken(self: Policy, now: float, event: object) -> list[object]:
         raise KeyError("broken on purpose")
--- a/tests/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -8,7 +8,7 @@
 
 from cottonhall.interface import ListKind, Log, Outcome, Refuse, Request, Result, Send, State, Subscribe, Wake
 from cottonhall.rules import ERRORS_FROM, ERRORS_FULL, PRIOR, Policy
-from tests.support import KEYED, SAFE, START, UNSAFE, Stage, server, settings
+from tests.policy.support import KEYED, SAFE, START, UNSAFE, Stage, server, settings
 
 
 def overload(stage: Stage, x: float) -> None:
--- a/tests/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parent.parent.parent
 
 
 def test_module_stays_short_and_narrow() -> None:
--- a/tests/test_six_rules.py
+++ b/tests/policy/test_six_rules.py
@@ -20,7 +20,7 @@
     Subscribe,
     Withdrawn,
 )
-from tests.support import KEYED, SAFE, UNSAFE, Stage, server, settings
+from tests.policy.support import KEYED, SAFE, UNSAFE, Stage, server, settings
 
 ZONED = replace(KEYED, group=Group.ZONE, window=300.0)
 CELLED = replace(KEYED, group=Group.CELL, window=300.0)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,7 +18,7 @@
 import uvloop
 
 from tests.net import WAIT, Agent, Client, Peer, field, held_back, request
-from tests.test_wire import SETTINGS
+from tests.policy.test_wire import SETTINGS
 
 COMMAND = [sys.executable, "-B", "-m", "badgercart"]
 
