Serve as an external processor for Envoy-like proxies, from an operator's file

Need: co-operatives with proxies of their own want the node's choices without sending their traffic through it, under the same rules.

Change: fronts/processor answers envoy.service.ext_proc.v3.ExternalProcessor with grpcio and the types of xds-protos. Its decisions do no I/O: machine.py (the life of streams and calls), outcomes.py (what a response phase proves), account.py (who uses old answers), description.py. The policy gains what such a carrier needs: fallbacks beside a Send, an attempt that its carrier moved on by itself, ends that are parked until the proxy comes back, requests that may have run elsewhere. `serve FILE.toml` and `check FILE.toml` start and check an operator's file, every fault by line and key. The platform's node imports none of it.

--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -14,6 +14,8 @@
 from badgercart.config import Address
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer, Order
+from badgercart.core.results import result_of
+from badgercart.core.roster import Member
 from cottonhall.interface import Result, State
 
 MAX_BODY = 65536
@@ -166,13 +168,7 @@
             self.pool.park(self)
         else:
             self.transport.close()
-        if answer.status == 200:
-            result = Result.OK
-        elif answer.status in (503, 504) and self.not_started:
-            result = Result.FULL
-        else:
-            result = Result.ERROR
-        self.pool.end(attempt, result, answer)
+        self.pool.end(attempt, result_of(answer.status, self.not_started), answer)
 
     # What the parser finds.
 
@@ -245,8 +241,10 @@
         self.dials = 0
         self.loop.call_later(SWEEP, self.sweep)
 
-    def update(self, server_id: int, address: Address, state: State, started: float) -> None:
+    def update(self, member: Member) -> None:
         """Take over a line of the server list."""
+        entry, address = member.entry, member.address
+        server_id, state, started = entry.id, entry.state, entry.started
         server = self.servers.get(server_id)
         if server is None:
             if state is not State.GONE:
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
 from collections import deque
@@ -15,11 +14,12 @@
 from typing import Any
 
 from badgercart.core.clock import now_ms
-from badgercart.core.ports import Answer, Carrier, Front, Intake, Order
+from badgercart.core.ports import Answer, Carrier, Front, Intake, Order, Timers
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
     Cancel,
+    Diverted,
     Event,
     Fail,
     Log,
@@ -27,6 +27,7 @@
     Refuse,
     Request,
     Result,
+    Resume,
     Send,
     Settings,
     Subscribe,
@@ -51,8 +52,11 @@
 class Join:
     """All requests that are held and all attempts that are out, over every front and carrier."""
 
-    def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
+    def __init__(
+        self, settings: Settings, seed: int, timers: Timers, clock: Callable[[], float] = now_ms
+    ) -> None:
+        self.timers = timers
+        self.clock = clock
         self.policy = Policy(settings, seed)
         self.held: dict[int, Held] = {}
         self.out: dict[tuple[int, int], Carrier] = {}  # attempts, also of requests that are over
@@ -81,12 +85,12 @@
             while self.events:
                 event = self.events.popleft()
                 try:
-                    for action in self.policy.handle(now_ms(), event):
+                    for action in self.policy.handle(self.clock(), event):
                         self.perform[type(action)](action)
                 except Exception:
                     # One request must not take the node down with it; it still is owed an answer.
                     log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
-                    if isinstance(event, Request | Outcome):
+                    if isinstance(event, Request | Outcome | Diverted | Resume):
                         self.end(event.id, broken=True)
                     elif isinstance(event, Timer):
                         self.end(event.token, broken=True)
@@ -96,11 +100,12 @@
     def send(self, action: Send) -> None:
         held = self.held[action.id]
         number, held.sends = held.sends, held.sends + 1
-        limit = held.intake.due - now_ms()
+        limit = held.intake.due - self.clock()
         if action.limit:
             limit = min(limit, action.limit)
         self.out[action.id, number] = held.carrier
-        held.carrier.send(Order(action.id, number, action.server, limit, held.intake.work))
+        work = held.intake.work
+        held.carrier.send(Order(action.id, number, action.server, limit, work, action.fallbacks))
 
     def refuse(self, action: Refuse) -> None:
         if (held := self.held.pop(action.id, None)) is not None:
@@ -119,7 +124,7 @@
 
     def wake(self, action: Wake) -> None:
         # Rounded up: a timer that rings early finds nothing due and would be set again at once.
-        self.loop.call_later(math.ceil(action.delay) / 1000, self.tell, Timer(action.token))
+        self.timers.call_later(math.ceil(action.delay) / 1000, self.tell, Timer(action.token))
 
     def log(self, action: Log) -> None:
         log.info("%s", action.text)
@@ -137,9 +142,19 @@
     def take(self, request_id: int, intake: Intake, front: Front, carrier: Carrier) -> None:
         """Take on a request. The front may be told its answer before this returns."""
         self.held[request_id] = Held(front, carrier, intake)
-        self.tell(
-            Request(request_id, intake.cls, intake.due, intake.key, intake.tenant, intake.hint, intake.repeat)
+        event = Request(
+            id=request_id,
+            cls=intake.cls,
+            due=intake.due,
+            key=intake.key,
+            tenant=intake.tenant,
+            hint=intake.hint,
+            repeat=intake.repeat,
+            fallbacks=intake.fallbacks,
+            resumed=intake.resumed,
+            among=intake.among,
         )
+        self.tell(event)
 
     def withdraw(self, request_id: int) -> None:
         """The client has gone away: nothing is owed any more."""
@@ -156,8 +171,11 @@
         result: Result,
         elapsed: float,
         answer: Answer | None = None,
+        parked: bool = False,
     ) -> None:
-        """An attempt has ended, `elapsed` ms after it was sent. Told twice, it counts once."""
+        """An attempt has ended, `elapsed` ms after it was sent. Told twice, it counts once.
+
+        Where it is parked, the policy learns from it and decides nothing until `resume`."""
         if self.out.pop((request_id, number), None) is None:
             return
         final = result is Result.OK
@@ -168,4 +186,20 @@
         if final and answer is not None and (held := self.held.pop(request_id, None)):
             held.front.answered(answer)
         over = request_id not in self.held
-        self.tell(Outcome(request_id, server_id, over, result, number, elapsed))
+        self.tell(Outcome(request_id, server_id, over, result, number, elapsed, parked=parked))
+
+    def diverted(
+        self, request_id: int, number: int, server_id: int, result: Result, elapsed: float, to: int
+    ) -> None:
+        """An attempt has ended, and its carrier went on to another server by itself."""
+        carrier, held = self.out.pop((request_id, number), None), self.held.get(request_id)
+        if carrier is None or held is None:
+            return
+        self.out[request_id, held.sends] = carrier
+        held.sends += 1
+        self.tell(Diverted(request_id, number, server_id, result, elapsed, to))
+
+    def resume(self, request_id: int, resend: bool) -> None:
+        """Have the policy decide on a request whose last end was parked."""
+        if request_id in self.held:
+            self.tell(Resume(request_id, resend))
--- a/badgercart/core/ports.py
+++ b/badgercart/core/ports.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -35,7 +36,11 @@
 
 
 class Carrier(Protocol):
-    """Whoever carries out attempts. Every `send` ends in exactly one `Join.ended` with the same numbers."""
+    """Whoever carries out attempts. Every `send` ends in exactly one `Join.ended` with the same numbers.
+
+    A carrier that can't send again by itself reports an end as parked, and calls `Join.resume` when its own
+    side asks for the next attempt or wants to know how the request ends. One that goes on to a fallback by
+    itself says so with `Join.diverted`; the next attempt then is out as if it had been sent."""
 
     def send(self, order: Order) -> None: ...
 
@@ -43,6 +48,19 @@
         """Stop waiting for an attempt; its end is reported as any other."""
 
 
+class Handle(Protocol):
+    """A timer that is set."""
+
+    def cancel(self) -> object: ...
+
+
+class Timers(Protocol):
+    """What rings later: an event loop, or a test's own."""
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Handle:
+        """Call after `delay` s."""
+
+
 @dataclass(slots=True)
 class Order:
     """An attempt as the policy decided it."""
@@ -67,3 +85,5 @@
     hint: float = 0.0  # the client's guess at the work in ms, 0: none
     repeat: bool = False  # marked as the client's retry
     fallbacks: int = 0  # how many servers beside the first the carrier can turn to by itself
+    resumed: bool = False  # earlier attempts, of which this node knows nothing, may have run
+    among: frozenset[int] | None = None  # the only servers that the carrier can reach
--- /dev/null
+++ b/badgercart/core/results.py
@@ -0,0 +1,15 @@
+"""What a server's whole answer says of its attempt.
+
+Source: the protocol's page, section "Nodes to servers".
+"""
+
+from __future__ import annotations
+
+from cottonhall.interface import Result
+
+
+def result_of(status: int, not_started: bool) -> Result:
+    """The outcome by status and the header Not-Started, whoever carried the attempt out."""
+    if status == 200:
+        return Result.OK
+    return Result.FULL if status in (503, 504) and not_started else Result.ERROR
--- /dev/null
+++ b/badgercart/core/roster.py
@@ -0,0 +1,108 @@
+"""The servers that the list names, by id and by address, and what every change of it sets off."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any, Protocol
+
+from badgercart.config import Address
+from badgercart.core.join import Join
+from cottonhall.interface import ListKind, ServerEntry, ServerList, State
+
+MAX_LEFT = 1024  # servers remembered after they left: old answers may name them still
+
+log = logging.getLogger("badgercart")
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A server of the list: what the policy is told of it, and what only carriers and people need."""
+
+    entry: ServerEntry
+    address: Address
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class MemberList:
+    """A whole list or its changes."""
+
+    kind: ListKind
+    version: int
+    members: list[Member]
+
+
+class Reader(Protocol):
+    def read(self, raw: Mapping[str, Any], kind: ListKind | None = None) -> MemberList:
+        """ValueError if any line is bad: a list is taken whole or not at all."""
+
+
+class Roster:
+    """Takes lists, tells carriers and fronts of each changed server, and then the policy."""
+
+    def __init__(self, reader: Reader, join: Join) -> None:
+        self.reader = reader
+        self.join = join
+        self.on_change: list[Callable[[Member], None]] = []
+        self.told = False  # whether any list has come
+        self.listed: dict[int, Member] = {}
+        self.left: dict[int, Member] = {}  # those that are gone, the longest first
+        self.leaving: dict[int, float] = {}  # when it was told that one drains or is gone
+        self.ids: dict[Address, int] = {}  # the last server that was listed at an address
+
+    def take(self, raw: Mapping[str, Any], kind: ListKind | None = None) -> int:
+        """Take over a list or its changes, and give its version; ValueError where the reader gives it."""
+        told = self.reader.read(raw, kind)
+        now = self.join.clock()
+        if told.kind is not ListKind.DELTA:
+            named = {member.entry.id for member in told.members}
+            for server_id in self.listed.keys() - named:
+                gone = self.listed[server_id]
+                self.note(replace(gone, entry=replace(gone.entry, state=State.GONE)), now)
+        for member in told.members:
+            self.note(member, now)
+        if told.members or told.kind is not ListKind.DELTA:
+            changed = ", ".join(f"{m.name} {m.entry.state.name.lower()}" for m in told.members[:4])
+            more = f" and {len(told.members) - 4} more" if len(told.members) > 4 else ""
+            log.info("list %d, %s: %s%s", told.version, told.kind.name.lower(), changed, more)
+        self.told = True
+        self.join.tell(ServerList(told.kind, told.version, [member.entry for member in told.members]))
+        return told.version
+
+    def note(self, member: Member, now: float) -> None:
+        """Take over one line."""
+        server_id, state = member.entry.id, member.entry.state
+        if state is State.GONE:
+            if self.listed.pop(server_id, None) is not None:
+                self.left[server_id] = member
+                if len(self.left) > MAX_LEFT:
+                    self.drop(next(iter(self.left)))
+        else:
+            old = self.listed.get(server_id) or self.left.get(server_id)
+            if old is not None and old.address != member.address and self.ids.get(old.address) == server_id:
+                del self.ids[old.address]
+            self.left.pop(server_id, None)
+            self.listed[server_id] = member
+            self.ids[member.address] = server_id
+        if state is State.READY:
+            self.leaving.pop(server_id, None)
+        elif server_id in self.listed or server_id in self.left:
+            self.leaving.setdefault(server_id, now)
+        for tell in self.on_change:
+            tell(member)
+
+    def drop(self, server_id: int) -> None:
+        """Forget one that left long ago."""
+        member = self.left.pop(server_id)
+        self.leaving.pop(server_id, None)
+        if self.ids.get(member.address) == server_id:
+            del self.ids[member.address]
+
+    def at(self, address: Address) -> Member | None:
+        """The server that is, or was last, listed at an address."""
+        server_id = self.ids.get(address)
+        if server_id is None:
+            return None
+        return self.listed.get(server_id) or self.left.get(server_id)
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -75,9 +75,11 @@
 class Handler(Protocol):
     """What takes the requests."""
 
-    healthy: bool
     stopping: bool
 
+    @property
+    def healthy(self) -> bool: ...
+
     def take(self, client: ClientConnection, request: ClientRequest) -> None:
         """Take on a request and give the connection its number."""
 
--- /dev/null
+++ b/badgercart/fronts/http/front.py
@@ -0,0 +1,78 @@
+"""The HTTP front on the join: its clients' requests go out over the server pool."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from badgercart.carriers.pool.pool import ServerPool
+from badgercart.config import Config
+from badgercart.core.clock import now_ms
+from badgercart.core.join import Join
+from badgercart.core.ports import Intake
+from badgercart.core.roster import Roster
+from badgercart.fronts.http.clients import ClientConnection, ClientRequest, Listener
+
+MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
+SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
+ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
+
+log = logging.getLogger("badgercart")
+
+
+class HttpFront:
+    """A listener for HTTP clients and the connections to the servers, within one limit of descriptors."""
+
+    def __init__(self, config: Config, join: Join, roster: Roster, loop: asyncio.AbstractEventLoop) -> None:
+        self.config = config
+        self.join = join
+        self.roster = roster
+        self.stopping = False
+        # A request in flight holds one on either side, but clients also keep what they have opened.
+        room = max(config.sockets - SPARE_SOCKETS, 30)
+        servers = room * 3 // 8
+        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, join.ended)
+        roster.on_change.append(self.pool.update)
+        self.listener = Listener(loop, config, self, room - servers)
+
+    @property
+    def healthy(self) -> bool:
+        return self.roster.told
+
+    def take(self, client: ClientConnection, request: ClientRequest) -> None:
+        client.request_id = self.join.number()
+        intake = Intake(
+            cls=request.cls,
+            tenant=request.tenant,
+            key=request.key,
+            due=request.sent + request.timeout - MARGIN,
+            work=request.message,
+            hint=request.hint,
+            repeat=request.repeat,
+        )
+        self.join.take(client.request_id, intake, client, self.pool)
+
+    def withdraw(self, request_id: int) -> None:
+        self.join.withdraw(request_id)
+
+    def start(self) -> None:
+        self.listener.start()
+        log.info("%s listens on %s:%d", self.config.name, *self.listener.address)
+
+    async def drain(self) -> None:
+        """Take what still comes and answer all that is held."""
+        self.stopping = True
+        log.info("stopping: %d requests held", len(self.join.held))
+        # A client that has been told the connection closes, or sees it close, comes back elsewhere.
+        self.listener.close_idle()
+        await asyncio.sleep(ACCEPT_FOR)
+        self.listener.stop()
+        # Who has not sent its whole request by now can't keep the node from ending.
+        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
+        while self.listener.connections and now_ms() < end:
+            self.listener.close_idle()
+            await asyncio.sleep(DRAIN_LOOK)
+
+    def close(self) -> None:
+        self.listener.close()
--- a/badgercart/membership/entries.py
+++ b/badgercart/membership/entries.py
@@ -8,35 +8,17 @@
 import math
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
-from badgercart.config import Address, Config, parse_address
+from badgercart.config import Config, parse_address
 from badgercart.core.clock import now_ms
 from badgercart.core.names import stable_id
+from badgercart.core.roster import Member, MemberList
 from cottonhall.interface import ListKind, ServerEntry, State
 
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 
-@dataclass(slots=True, frozen=True)
-class Member:
-    """A server of the list: what the policy is told of it, and what only carriers and people need."""
-
-    entry: ServerEntry
-    address: Address
-    name: str
-
-
-@dataclass(slots=True, frozen=True)
-class MemberList:
-    """A whole list or its changes."""
-
-    kind: ListKind
-    version: int
-    members: list[Member]
-
-
 class ListReader:
     """Reads lists with the names of one configuration. Unix times become times of the node's clock."""
 
--- /dev/null
+++ b/badgercart/operator/run.py
@@ -0,0 +1,98 @@
+"""Starts what an operator's file switches on, passes signals on to it, and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import signal
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from badgercart.core.join import Join
+from badgercart.core.roster import Roster
+from badgercart.fronts.http.front import HttpFront
+from badgercart.membership.catalog import Discovery
+from badgercart.membership.entries import ListReader
+from badgercart.operator.file import FileError, Installation, load
+
+if TYPE_CHECKING:
+    from badgercart.fronts.processor.server import Processor
+
+log = logging.getLogger("badgercart")
+
+
+class Site:
+    """One installation: a join, its fronts and its source of the server list."""
+
+    def __init__(self, what: Installation, loop: asyncio.AbstractEventLoop) -> None:
+        config = what.config
+        self.what = what
+        self.join = Join(config.settings, config.seed, loop)
+        self.roster = Roster(ListReader(config), self.join)
+        self.http = HttpFront(config, self.join, self.roster, loop) if what.http else None
+        self.processor: Processor | None = None
+        if what.processor is not None:
+            from badgercart.fronts.processor.server import Processor  # heavy: only where it is switched on
+
+            self.processor = Processor(config, what.processor, self.join, self.roster, loop)
+        self.discovery: Discovery | None = None
+        if what.catalog is not None:
+            self.discovery = Discovery(what.catalog, self.take_list, random.Random(config.seed))
+
+    def take_list(self, raw: dict[str, Any]) -> int:
+        return self.roster.take(raw)
+
+    async def start(self) -> None:
+        """Raises OSError where an address can't be had."""
+        if self.discovery is not None:
+            self.discovery.start()
+        else:
+            self.take_list({"generation": 1, "reset": True, "instances": self.what.servers})
+        if self.http is not None:
+            self.http.start()
+        if self.processor is not None:
+            await self.processor.start()
+
+    def reload(self, path: str) -> None:
+        """The catalog's address, or the servers that the file lists, and PEM files are taken anew.
+
+        All else takes a restart; a file that is wrong changes nothing."""
+        try:
+            what = load(path)
+        except FileError as error:
+            log.error("the configuration stays as it was: %s", str(error).replace("\n", "; "))
+            return
+        if self.discovery is not None and what.catalog is not None:
+            self.discovery.move(what.catalog)
+        elif self.discovery is None and what.servers:
+            self.take_list({"generation": 1, "reset": True, "instances": what.servers})
+        else:
+            log.error("where the server list comes from takes a restart; it stays as it was")
+        if self.processor is not None:
+            self.processor.reload()
+        log.info("configuration read")
+
+    async def drain(self) -> None:
+        """Answer all that is held, on every front, then end."""
+        await asyncio.gather(*(front.drain() for front in (self.http, self.processor) if front is not None))
+        self.close()
+        log.info("stopped")
+
+    def close(self) -> None:
+        for part in (self.http, self.processor, self.discovery):
+            if part is not None:
+                part.close()
+
+
+async def run(path: str, what: Installation, started: Callable[[Site], None] = lambda site: None) -> None:
+    """Serve until SIGTERM or SIGINT. Raises OSError and TlsError from the start."""
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    site = Site(what, loop)
+    await site.start()
+    loop.add_signal_handler(signal.SIGHUP, site.reload, path)
+    started(site)
+    await stop.wait()
+    await site.drain()
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Speeds, as ratios within one run; one file a subsystem."""
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -161,6 +161,9 @@
     tenant: int = 0
     hint: float = 0.0  # expected work, 0: unknown
     repeat: bool = False  # marked by the client as its retry
+    fallbacks: int = 0  # further servers that whoever carries it out may turn to by itself
+    resumed: bool = False  # earlier attempts, of which this node knows nothing, may have run
+    among: frozenset[int] | None = None  # the only servers that whoever carries it out can reach
 
 
 @dataclass(slots=True)
@@ -182,6 +185,27 @@
     attempt: int
     elapsed: float
     report: tuple[float, ...] = ()
+    parked: bool = False  # nothing is decided until a Resume: who would carry it out has yet to come back
+
+
+@dataclass(slots=True)
+class Diverted:
+    """An attempt ended, and its carrier went on to another server by itself, as the next attempt."""
+
+    id: int
+    attempt: int
+    server: int
+    result: int
+    elapsed: float
+    to: int
+
+
+@dataclass(slots=True)
+class Resume:
+    """A request whose last outcome was parked: decide now, by sending again or only how it ends."""
+
+    id: int
+    resend: bool
 
 
 @dataclass(slots=True)
@@ -210,7 +234,9 @@
     id: int
 
 
-Event = ServerList | Request | Began | Outcome | ProbeResult | Timer | PeerMessage | Withdrawn
+Event = (
+    ServerList | Request | Began | Outcome | Diverted | Resume | ProbeResult | Timer | PeerMessage | Withdrawn
+)
 
 
 # Actions: what the module decides.
@@ -221,6 +247,7 @@
     id: int
     server: int
     limit: float  # time-out of this attempt
+    fallbacks: tuple[int, ...] = ()  # where it may go on to by itself, the first one first
 
 
 @dataclass(slots=True)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field, replace
 
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Effect, Event, Fail, Group, ListKind, Log, Outcome, Refuse,
-    Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Withdrawn,
+    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Diverted, Effect, Event, Fail, Group, ListKind, Log, Outcome,
+    Refuse, Request, Result, Resume, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake,
+    Withdrawn,
 )  # fmt: skip
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
@@ -98,6 +99,7 @@
     out: set[int] = field(default_factory=set)  # numbers of its attempts without an outcome
     maybe_ran: dict[int, tuple[float, ServerEntry]] = field(default_factory=dict)  # sends that may have run
     used: list[int] = field(default_factory=list)  # servers tried
+    parked: int = 0  # the result that waits for a Resume; 0: none
 
 
 class Policy:
@@ -148,6 +150,10 @@
             self.on_list(event)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
+        elif isinstance(event, Diverted):
+            self.on_diverted(event)
+        elif isinstance(event, Resume):
+            self.on_resume(event)
         elif isinstance(event, Timer):
             if event.token == SUBSCRIBE:
                 self.out.append(Subscribe())
@@ -178,6 +184,9 @@
         if request.key and settings.warm_keys:
             self.key_counts[request.key] = self.key_counts.get(request.key, 0.0) + 1
             self.keys_total += 1
+        if request.resumed and not self.repeatable(request.cls):
+            self.out.append(Fail(request.id))  # it may have run, and nothing tells where and when
+            return
         score = self.bands[group][0] + self.bands[group][1] * self.random.random()
         if score < self.cut:
             # What is refused tells nothing: unless it ages what was seen, a cut that stops nearly all is fed
@@ -284,18 +293,39 @@
         if not timely or (server := self.pick(job)) is None:
             self.end(job)
             return
+        self.launch(job, server)
+        fallbacks = self.fallbacks(job, end) if request.fallbacks else ()
+        self.out.append(Send(request.id, server.entry.id, end - self.now, fallbacks))
+
+    def launch(self, job: Job, server: Server) -> None:
+        """Count an attempt that goes out now."""
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
-        server.open[(request.id, job.tries)] = job, self.now + STALL * usual
-        if turn:
-            turn.out += 1
+        server.open[(job.request.id, job.tries)] = job, self.now + STALL * self.usual[job.request.cls]
+        if job.turn:
+            job.turn.out += 1
         job.tries += 1
         self.flying += 1
         self.sent += 1
         server.recent += 1
         self.total_recent += 1
-        self.out.append(Send(request.id, server.entry.id, end - self.now))
+
+    def fallbacks(self, job: Job, end: float) -> tuple[int, ...]:
+        """Where a carrier may go on to by itself, at any time until the attempt's end; cold servers never."""
+        most = min(job.request.fallbacks, self.settings.max_attempts - job.tries)
+        if self.random.random() < max(self.x, self.no_link):
+            return ()  # as for sending again: it feeds a jam
+        found: list[int] = []
+        for server_id in self.draw(job.request.key):
+            if len(found) >= most:
+                break
+            server = self.servers[server_id]
+            rested = server.health[job.request.cls].rest_until == 0.0
+            fit = rested and self.cold_share(server) >= 1.0 and self.allowed(job, server, end)
+            if fit and server_id not in job.used and server_id not in found:
+                found.append(server_id)
+        return tuple(found)
 
     def pick(self, job: Job) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two."""
@@ -366,13 +396,15 @@
         server.tokens_at = self.now
         return server.tokens >= 1.0
 
-    def allowed(self, job: Job, server: Server) -> bool:
+    def allowed(self, job: Job, server: Server, until: float = 0.0) -> bool:
         """Whether the class lets the request go to this server, given where it may have run already."""
-        cls = self.settings.classes[job.request.cls]
+        cls, among = self.settings.classes[job.request.cls], job.request.among
+        if among is not None and server.entry.id not in among:
+            return False
         if not job.maybe_ran or cls.effect is not Effect.KEYED:
             return not job.maybe_ran or cls.effect is Effect.SAFE
         return all(
-            self.now - sent < cls.window - self.settings.tick
+            max(self.now, until) - sent < cls.window - self.settings.tick
             and (cls.group is not Group.ZONE or entry.zone == server.entry.zone)
             and (cls.group is not Group.CELL or entry.cell == server.entry.cell)
             for sent, entry in job.maybe_ran.values()
@@ -391,11 +423,42 @@
         self.learn(server, outcome, job)
         if outcome.over or outcome.id not in self.jobs:
             self.finish(outcome.id)
-        elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
+        elif outcome.parked:
+            job.parked = outcome.result
+        else:
+            self.go_on(job, outcome.result)
+
+    def go_on(self, job: Job, result: int) -> None:
+        """Send a request again whose attempt ended so, or end it."""
+        if result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
             self.end(job)  # resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
 
+    def on_resume(self, event: Resume) -> None:
+        job = self.jobs.get(event.id)
+        if job is None or not job.parked:
+            return
+        result, job.parked = job.parked, 0
+        if event.resend:
+            self.go_on(job, result)
+        else:
+            self.end(job)
+
+    def on_diverted(self, event: Diverted) -> None:
+        """A carrier went on by itself: its first attempt ended, and the next is out where it went."""
+        server, target = self.servers.get(event.server), self.servers.get(event.to)
+        job, _ = server.open.pop((event.id, event.attempt), (None, 0.0)) if server else (None, 0.0)
+        if server is None or job is None:
+            return
+        self.forget(server)
+        self.flying -= 1
+        outcome = Outcome(event.id, event.server, False, event.result, event.attempt, event.elapsed)
+        self.note_end(job, outcome)
+        self.learn(server, outcome, job)
+        if target is not None and event.id in self.jobs:
+            self.launch(job, target)
+
     def note_end(self, job: Job, outcome: Outcome) -> None:
         """What an attempt's end tells of whether its request ran, and whose turn is next."""
         job.out.discard(outcome.attempt)
@@ -465,6 +528,12 @@
         self.out.append(Refuse(number, wait) if safe or not job.maybe_ran else Fail(number))
         self.finish(number)
 
+    def repeatable(self, group: int) -> bool:
+        """Whether a request that may have run, no one knows where, may be sent or refused all the same."""
+        cls = self.settings.classes[group]
+        keyed = cls.effect is Effect.KEYED and cls.group is Group.ALL and cls.deadline < cls.window
+        return cls.effect is Effect.SAFE or keyed
+
     def finish(self, job_id: int) -> None:
         job = self.jobs.pop(job_id, None)
         if job is not None and self.settings.may_cancel:
--- a/tests/core/test_join.py
+++ b/tests/core/test_join.py
@@ -8,7 +8,7 @@
 import pytest
 
 from badgercart.core.names import stable_id
-from badgercart.node import MARGIN
+from badgercart.fronts.http.front import MARGIN
 from cottonhall.interface import Outcome, Request, Result, Withdrawn
 from tests.net import (
     OK,
--- /dev/null
+++ b/tests/operator/test_file.py
@@ -0,0 +1,195 @@
+"""The operator's file: what is taken, and how each fault is named."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgercart.operator.file import FileError, load
+from badgercart.operator.locate import lines_of
+from cottonhall.interface import Effect, Group
+
+ROOT = Path(__file__).parent.parent.parent
+GOOD = """\
+[fleet]
+zones = ["a", "b"]
+[[class]]
+name = "find"
+aim_ms = 400
+deadline_ms = 1000
+worth = 2
+effect = "safe"
+[[class]]
+name = "book"
+aim_ms = 400
+deadline_ms = 1000
+worth = 8
+effect = "keyed"
+group = "zone"
+window_ms = 6000
+[[members.server]]
+name = "s-1"
+address = "127.0.0.1:7001"
+zone = "a"
+[fronts.http]
+listen = "127.0.0.1:0"
+"""
+
+
+def faults(tmp_path: Path, text: str) -> list[tuple[int, str, str]]:
+    path = tmp_path / "site.toml"
+    path.write_text(text)
+    with pytest.raises(FileError) as caught:
+        load(str(path))
+    return [(problem.line, problem.key, problem.words) for problem in caught.value.problems]
+
+
+def test_a_good_file_becomes_an_installation(tmp_path: Path) -> None:
+    path = tmp_path / "site.toml"
+    path.write_text(GOOD)
+    what = load(str(path))
+    assert [cls.effect for cls in what.config.settings.classes] == [Effect.SAFE, Effect.KEYED]
+    assert what.config.settings.classes[1].group is Group.ZONE
+    assert what.config.classes == {b"find": 0, b"book": 1}
+    assert what.http == ("127.0.0.1", 0) and what.processor is None and what.catalog is None
+    assert what.servers[0]["hostPort"] == "127.0.0.1:7001"
+
+
+@pytest.mark.parametrize("path", sorted(ROOT.glob("deploy/*.toml")), ids=lambda path: path.name)
+def test_the_examples_are_good(path: Path) -> None:
+    if path.name != "balancer.toml":  # the platform's own form
+        load(str(path))
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "key", "words"),
+    [
+        ("worth = 2", "worth = -1", 7, "class[0].worth", "-1 is not within 0 to 1e+06"),
+        ("worth = 2", 'worth = "2"', 7, "class[0].worth", "'2' is no number"),
+        ("worth = 2", "worth = true", 7, "class[0].worth", "True is no number"),
+        ("worth = 2", "worth = nan", 7, "class[0].worth", "nan is no number"),
+        ("worth = 2\n", "", 3, "class[0]", "worth is missing: what one is worth beside the others"),
+        ("worth = 2", "worht = 2", 7, "class[0].worht", "is not known here"),
+        ("aim_ms = 400", "aim_ms = 1400", 5, "class[0].aim_ms", "is later than deadline_ms"),
+        ('"book"', '"find"', 10, "class[1].name", "'find' stands here twice"),
+        ('"book"', '"a/b"', 10, "class[1].name", "holds a slash"),
+        ('"keyed"', '"once"', 14, "class[1].effect", "'once' is none of safe, keyed, unsafe"),
+        ("window_ms = 6000\n", "", 14, "class[1].effect", "keyed needs a window_ms above 0"),
+        ("127.0.0.1:7001", "7001", 19, "members.server[0].address", "'7001' is no host:port"),
+        ('zone = "a"', 'zone = "c"', 20, "members.server[0].zone", "'c' is none of fleet.zones"),
+        ("[fronts.http]", "[fronts.htpt]", 21, "fronts.htpt", "is not known here"),
+        ("[fleet]\n", "[fleet]\ncold_from = 0\n", 2, "fleet.cold_from", "0 is not within 0.01 to 1"),
+        ("[fleet]\n", 'x = """\n[a]\n"""\n[fleet]\n', 1, "x", "is not known here"),
+        ("[fleet]", "[[fleet]]", 1, "fleet", "is no table"),
+        ("[[class]]", "[class]", 0, "", "Cannot"),
+        ('zones = ["a", "b"]', 'zones = ["a", "a"]', 2, "fleet.zones", "is no list of different names"),
+    ],
+)
+def test_each_fault_is_named_by_line_and_key(
+    tmp_path: Path, old: str, new: str, line: int, key: str, words: str
+) -> None:
+    found = faults(tmp_path, GOOD.replace(old, new, 1))
+    assert any(f[:2] == (line, key) and words in f[2] for f in found), found
+
+
+def test_all_faults_are_named_at_once(tmp_path: Path) -> None:
+    text = GOOD.replace("worth = 2", "worth = -1").replace("listen =", "listens =")
+    assert [fault[1] for fault in faults(tmp_path, text)] == [
+        "class[0].worth",
+        "fronts.http",
+        "fronts.http.listens",
+    ]
+
+
+PROCESSOR = GOOD + '[fronts.processor]\nlisten = "127.0.0.1:0"\n'
+
+
+@pytest.mark.parametrize(
+    ("more", "key"),
+    [
+        ("answer_age_ms = 501", "fronts.processor.answer_age_ms"),
+        ("max_streams = 0", "fronts.processor.max_streams"),
+        ("fallbacks = 1.5", "fronts.processor.fallbacks"),
+        ('[fronts.processor.headers]\ntenant = "tenant"', "fronts.processor.headers.tenant"),
+        ('[fronts.processor.headers]\ntenant = ["a b"]', "fronts.processor.headers.tenant"),
+        ('[fronts.processor.tls]\ncert = "x.pem"', "fronts.processor.tls"),
+        ("[fronts.processor.old_answers]\nrefuse_after = 2", "fronts.processor.old_answers.refuse_after"),
+    ],
+)
+def test_faults_of_the_processor(tmp_path: Path, more: str, key: str) -> None:
+    assert [fault[1] for fault in faults(tmp_path, PROCESSOR + more)] == [key]
+
+
+def test_an_answer_never_lasts_longer_than_the_grace(tmp_path: Path) -> None:
+    text = PROCESSOR.replace("[fleet]", "[fleet]\ndrain_grace_ms = 200")
+    ((line, key, words),) = faults(tmp_path, text)
+    assert (line, key) == (24, "fronts.processor.answer_age_ms")
+    assert words == "is longer than fleet.drain_grace_ms"
+
+
+def test_what_can_not_be_read_is_one_fault(tmp_path: Path) -> None:
+    for data in (b"\xff\xfe", b"a = ", b"[" * 5000, b"x" * (1 << 20) + b"=1"):
+        path = tmp_path / "site.toml"
+        path.write_bytes(data)
+        with pytest.raises(FileError) as caught:
+            load(str(path))
+        assert len(caught.value.problems) == 1
+    with pytest.raises(FileError, match="No such file"):
+        load(str(tmp_path / "none.toml"))
+
+
+def test_check_says_it_with_its_exit_status(tmp_path: Path) -> None:
+    path = tmp_path / "site.toml"
+    path.write_text(GOOD.replace("worth = 2", "worth = -1"))
+    command = [sys.executable, "-m", "badgercart", "check", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert (done.returncode, done.stdout) == (2, "")
+    assert done.stderr.startswith(f"{path}: line 7: class[0].worth: -1 is not within")
+    path.write_text(GOOD)
+    assert subprocess.run(command, capture_output=True).returncode == 0
+
+
+def test_lines_are_found_through_strings_arrays_and_quoted_keys() -> None:
+    text = '''\
+"a b" = 1
+c.d = [ # [x]
+  "]", 2,
+]
+e = """
+[f]
+g = 1 \\"""
+"""
+[[h]]
+i = '='
+[h.j]
+[[h]]
+i = {k = 1}
+'''
+    assert lines_of(text) == {
+        ("a b",): 1,
+        ("c",): 2,
+        ("c", "d"): 2,
+        ("e",): 5,
+        ("h",): 9,
+        ("h", 0): 9,
+        ("h", 0, "i"): 10,
+        ("h", 0, "j"): 11,
+        ("h", 1): 12,
+        ("h", 1, "i"): 13,
+    }
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.text(alphabet="[]\"'=#.\\\n abc1{},", max_size=60))
+def test_no_text_is_more_than_a_fault(text: str) -> None:
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(text)
+        file.flush()
+        with pytest.raises(FileError):
+            load(file.name)
--- /dev/null
+++ b/tests/processor/test_outcomes.py
@@ -0,0 +1,71 @@
+"""The table of outcomes: every flag and detail, and combinations of them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from badgercart.fronts.processor.outcomes import DETAILS, FLAGS, VIA_UPSTREAM, Flag, Phase, read_end
+from cottonhall.interface import NEVER_RAN, Result
+
+# The flags that prove that a request never reached a server, by Envoy's own words for them.
+PROOF = set("LH UH UF UO NR FI RL UAEX RLSE IH RFCF NFCF NC OM DF DO UDO".split())
+
+
+def test_the_flags_stand_in_the_order_of_their_bits() -> None:
+    assert [flag.bit for flag in FLAGS] == list(range(30))
+
+
+@pytest.mark.parametrize("flag", FLAGS, ids=lambda flag: flag.short)
+def test_each_flag_alone(flag: Flag) -> None:
+    end = read_end(Phase(503, flags=1 << flag.bit))
+    assert end.result is flag.result and end.by_proxy
+    assert end.may_have_run == (flag.short not in PROOF)
+
+
+@pytest.mark.parametrize("details", sorted(DETAILS))
+def test_each_detail_alone(details: str) -> None:
+    assert read_end(Phase(503, details=details)).result is DETAILS[details]
+
+
+@pytest.mark.parametrize(
+    ("phase", "result", "by_proxy"),
+    [
+        (Phase(200), Result.OK, False),
+        (Phase(204), Result.ERROR, False),
+        (Phase(500), Result.ERROR, False),
+        (Phase(503), Result.ERROR, False),
+        (Phase(503, not_started=True), Result.FULL, False),
+        (Phase(504, not_started=True), Result.FULL, False),
+        (Phase(500, not_started=True), Result.ERROR, False),
+        (Phase(503, not_started=True, attempts=2), Result.ERROR, False),
+        (Phase(503, details=VIA_UPSTREAM, flags=1 << 15), Result.ERROR, False),
+        (Phase(200, flags=1 << 5), Result.OK, False),
+        (Phase(200, details="direct_response"), Result.NOT_SENT, True),
+        (Phase(503, details="upstream_reset_before_response_started{protocol_error}"), Result.RESET, True),
+        (Phase(503, details="something_new"), Result.ERROR, True),
+        (Phase(503, flags=1 << 7, upstream="10.0.0.1:80"), Result.CANCELLED, True),
+        (Phase(503, flags=1 << 5, upstream="10.0.0.1:80"), Result.UNREACHABLE, True),
+        (Phase(503, flags=1 << 5 | 1 << 6), Result.RESET, True),
+        (Phase(503, flags=-1), Result.TIMEOUT, True),
+    ],
+)
+def test_combinations(phase: Phase, result: Result, by_proxy: bool) -> None:
+    end = read_end(phase)
+    assert (end.result, end.by_proxy) == (result, by_proxy)
+
+
+@given(
+    status=st.integers(400, 599),
+    flags=st.integers(0, 1 << 40),
+    attempts=st.integers(1, 3),
+    upstream=st.sampled_from([None, "10.0.0.1:80"]),
+)
+def test_never_ran_only_where_all_that_is_told_proves_it(
+    status: int, flags: int, attempts: int, upstream: str | None
+) -> None:
+    end = read_end(Phase(status, flags=flags, attempts=attempts, upstream=upstream))
+    if end.result in NEVER_RAN:
+        told = {flag.short for flag in FLAGS if flags >> flag.bit & 1}
+        assert attempts == 1 and told and told <= PROOF and not flags >> 30
