Add stand-ins, a demo and hard cases of the processor, with the mends they called for

Need: the processor's promises shown against a proxy on loopback, and ./demo for a newcomer.

They found, and these are mended: a late 503 of an attempt that was continued on another stream went through for an unsafe class; a fallback that left the list meanwhile held its request in the policy for ever.

--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -37,7 +37,7 @@
 from badgercart.fronts.processor.description import Described
 from badgercart.fronts.processor.outcomes import Phase, harmless, read_end
 from badgercart.fronts.processor.settings import ProcessorSettings
-from cottonhall.interface import Effect, Group, RequestClass, Result, State
+from cottonhall.interface import Effect, Group, RequestClass, Result
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 
@@ -95,13 +95,14 @@
 class Stream:
     """One stream. Whoever drives it takes its replies as they come."""
 
-    __slots__ = ("at", "call", "proxy", "reply", "verdict")
+    __slots__ = ("at", "call", "guarded", "proxy", "reply", "verdict")
 
     def __init__(self, proxy: str, reply: Callable[[Reply], None]) -> None:
         self.proxy = proxy
         self.reply = reply
         self.at = At.FRESH
         self.call: Call | None = None
+        self.guarded = False  # told where to go, with what may not be refused once it may have run
         self.verdict: Immediate | None = None  # how its request ended before its response headers came
 
     def decide(self, reply: Reply) -> None:
@@ -289,9 +290,12 @@
 
     def late(self, stream: Stream, phase: Phase) -> Reply:
         """A response to what was refused, or whose request was over before it came."""
-        if stream.verdict is None or phase.status == 200 or 400 <= phase.status < 500 and phase.status != 429:
+        if phase.status < 500 and phase.status != 429:
             return Pass()  # the client's first answer, whatever the policy was told meanwhile
-        return stream.verdict
+        if stream.verdict is not None:
+            return stream.verdict
+        # Continued elsewhere: nothing proves any more that it never ran here.
+        return Pass(502) if stream.guarded and phase.status in (429, 503) else Pass()
 
     def closed(self, stream: Stream, now: float) -> None:
         """The stream is over, however it ended."""
@@ -334,6 +338,7 @@
         limit = max(1.0, order.limit)
         age = min(self.settings.answer_age, self.settings.drain_grace, limit)
         endpoints = tuple(self.endpoint(member) for member in members if member is not None)
+        stream.guarded = not call.refusable
         stream.decide(Route(endpoints, age, limit))
 
     def endpoint(self, member: Member) -> str:
@@ -351,8 +356,8 @@
             # A cached answer, a login page, a rule of the proxy's own: its answer, and none of ours.
             self.leave(call, Result.NOT_SENT if not end.may_have_run else Result.CANCELLED)
             return Pass()
-        if not tried:
-            self.leave(call, Result.NOT_SENT)
+        if tried is not None:
+            self.leave(call, tried)
             unharmed = harmless(True, call.refusable) or phase.status not in (429, 503)
             return Pass() if unharmed else Pass(502)
         answer = None if end.by_proxy else Answer(phase.status)
@@ -374,32 +379,37 @@
             return verdict
         return Pass(502 if phase.status in (429, 503) else 0)
 
-    def tried(self, call: Call, phase: Phase, served: str | None, now: float) -> bool:
-        """Tell of the servers that the proxy went on to by itself; whether the one it ended at is known."""
+    def tried(self, call: Call, phase: Phase, served: str | None, now: float) -> Result | None:
+        """Tell of the servers that the proxy went on to by itself.
+
+        Where the list does not have the one that it ended at, nothing more can be told of the request: how
+        the attempt ended where it was sent first."""
         assert call.order is not None
-        order = call.order
+        order, proxy = call.order, call.proxy
         member = self.member(served or phase.upstream)
-        if member is None and served is None:
-            # The proxy does not say, or names its own end of the way there: it went where it was told.
-            call.proxy.first += 1
-            return True
-        if member is not None and member.entry.id == order.server_id:
-            call.proxy.first += 1
-            return True
-        if member is not None and member.entry.id in order.fallbacks:
-            call.proxy.fallback += 1
+        # Without a word, or with the proxy's own name for the way there, it went where it was told.
+        at = order.server_id if member is None and served is None else member.entry.id if member else 0
+        if at == order.server_id:
+            proxy.first += 1
+            return None
+        gone = at not in self.roster.listed
+        if at in order.fallbacks:
+            proxy.fallback += 1
             first = Result.UNREACHABLE if phase.flags is not None and phase.flags >> 5 & 1 else Result.ERROR
-            for server_id in order.fallbacks[: order.fallbacks.index(member.entry.id) + 1]:
-                self.divert(call, first, server_id)
-            return True
+            if gone:
+                return first
+            for server_id in order.fallbacks[: order.fallbacks.index(at) + 1]:
+                if server_id in self.roster.listed:
+                    self.divert(call, first, server_id)
+            return None
         # Neither: the proxy used an answer of another time. What it was told for this request went nowhere.
-        leaving = self.roster.leaving.get(member.entry.id) if member is not None else None
+        leaving = self.roster.leaving.get(at)
         drained = leaving is not None and now - leaving > self.settings.drain_grace
-        self.account.used_old(call.proxy, drained, now)
-        if member is None or member.entry.state is State.GONE:
-            return False
-        self.divert(call, Result.NOT_SENT, member.entry.id)
-        return True
+        self.account.used_old(proxy, drained, now)
+        if gone:
+            return Result.NOT_SENT
+        self.divert(call, Result.NOT_SENT, at)
+        return None
 
     def divert(self, call: Call, result: Result, to: int) -> None:
         assert call.order is not None
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -416,7 +416,9 @@
         server = self.servers.get(outcome.server)
         job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0)) if server else (None, 0.0)
         if server is None or job is None:
-            return  # told twice, the server may be forgotten by now
+            if outcome.over:  # a carrier may have gone on to a server that is forgotten by now
+                self.finish(outcome.id)
+            return  # told twice
         self.forget(server)
         self.flying -= 1
         self.note_end(job, outcome)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,231 @@
+"""The demo: a small fleet, its list, a node with all its fronts, and traffic, in one live table.
+
+`--json --seconds N` prints one line once all is ready, without traffic or troubles, and serves for N seconds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import json
+import random
+import re
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter, deque
+from pathlib import Path
+
+from standins import http1
+from standins.fleet import Fleet, operators_file
+from standins.proxy import Proxy
+from standins.server import DispatchServer
+from standins.traffic import KINDS, Arrival, Result, arrivals, ask
+
+SERVERS = 8
+RATE = 110.0  # requests a second, about two thirds of what the fleet can do
+PROXY_SHARE = 0.3  # of the traffic goes through the proxy and the external processor
+READY_WITHIN = 30.0  # s
+PAINT = 0.5  # s
+RECENT = 10.0  # s that the table looks back
+FRONTS = {"http": r" listens on ([\d.]+:\d+)$", "processor": r"the processor listens on ([\d.]+:\d+)"}
+
+
+class NodeProcess:
+    """`python -m badgercart serve FILE`, and where its fronts listen."""
+
+    def __init__(self) -> None:
+        self.lines: deque[str] = deque(maxlen=200)
+        self.fronts: dict[str, str] = {}
+        self.ready = asyncio.Event()
+
+    async def start(self, path: Path) -> None:
+        """Raises RuntimeError, with what it said, where it does not come up."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "badgercart", "serve", str(path), stderr=asyncio.subprocess.PIPE
+        )
+        self.reading = asyncio.get_running_loop().create_task(self.read())
+        ended = asyncio.ensure_future(self.process.wait())
+        ready = asyncio.ensure_future(self.ready.wait())
+        await asyncio.wait((ended, ready), timeout=READY_WITHIN, return_when=asyncio.FIRST_COMPLETED)
+        ready.cancel()
+        if not self.ready.is_set():
+            await self.stop()
+            raise RuntimeError("the node did not come up:\n" + "\n".join(self.lines))
+
+    async def read(self) -> None:
+        assert self.process.stderr is not None
+        listed = False
+        while line := (await self.process.stderr.readline()).decode().rstrip():
+            self.lines.append(line)
+            for name, pattern in FRONTS.items():
+                if match := re.search(pattern, line):
+                    if name == "http" and "processor listens" in line:
+                        continue
+                    self.fronts[name] = match[1]
+            listed = listed or " list " in line
+            if listed and self.fronts.keys() == FRONTS.keys():
+                self.ready.set()
+
+    async def stop(self) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        code = await self.process.wait()
+        await self.reading
+        return code
+
+
+class Table:
+    """What came of the last seconds' requests, painted in place on a terminal, else line by line."""
+
+    def __init__(self, fleet: Fleet, node: NodeProcess) -> None:
+        self.fleet, self.node = fleet, node
+        self.results: deque[tuple[float, str, Result]] = deque()
+        self.total: Counter[str] = Counter()
+        self.note = "calm"
+        self.live = sys.stdout.isatty()
+
+    def add(self, way: str, result: Result) -> None:
+        self.results.append((time.monotonic(), way, result))
+        self.total[result.outcome] += 1
+
+    def rows(self) -> list[str]:
+        now = time.monotonic()
+        while self.results and self.results[0][0] < now - RECENT:
+            self.results.popleft()
+        rows = [
+            f"{'last 10 s':22}{'asked':>7}{'served':>8}{'refused':>9}{'failed':>8}{'p50 ms':>8}{'p99 ms':>8}"
+        ]
+        for way in ("http", "processor"):
+            for kind in KINDS:
+                found = [r for _, w, r in self.results if w == way and r.arrival.kind is kind]
+                outcomes = Counter(r.outcome for r in found)
+                took = sorted(r.took for r in found if r.outcome == "served") or [0.0]
+                served, refused = outcomes["served"], outcomes["refused"]
+                failed = outcomes["failed"] + outcomes["lost"]
+                rows.append(
+                    f"{kind.name + ' / ' + way:22}{len(found):>7}{served:>8}{refused:>9}"
+                    f"{failed:>8}{took[len(took) // 2]:>8.0f}{took[len(took) * 99 // 100]:>8.0f}"
+                )
+        rows += ["", f"now: {self.note}", ""]
+        for server in self.fleet.servers:
+            state = server.state if server.state != "active" else "slow" if server.slowness > 1 else "ready"
+            bar = "#" * server.held
+            rows.append(f"{server.name:6}{server.kind:9}{state:9}{len(server.seen):>7} requests  {bar}")
+        return rows
+
+    async def paint(self) -> None:
+        for turn in itertools.count():
+            await asyncio.sleep(PAINT)
+            rows = self.rows()
+            if self.live:
+                sys.stdout.write("\x1b[H\x1b[2J" + "\n".join(rows) + "\n")
+            elif turn % 10 == 9:
+                print("\n".join(rows), end="\n\n")
+            sys.stdout.flush()
+
+
+async def troubles(fleet: Fleet, table: Table, rng: random.Random) -> None:
+    """A slow server and a drain, over and over."""
+    while True:
+        await asyncio.sleep(6)
+        slow: DispatchServer = rng.choice([s for s in fleet.servers if s.state == "active"])
+        slow.slowness, table.note = 6.0, f"{slow.name} is six times slower"
+        await asyncio.sleep(8)
+        slow.slowness = 1.0
+        leaving = rng.choice([s for s in fleet.servers if s.state == "active"])
+        table.note = f"{leaving.name} drains: nothing new goes there from 0.5 s on"
+        fleet.drain(leaving)
+        await asyncio.sleep(4)
+        fleet.leave(leaving)
+        table.note = f"{leaving.name} is gone"
+        await asyncio.sleep(4)
+        await fleet.come_back(leaving)
+        table.note = f"{leaving.name} is back, and cold for 8.8 s"
+        await asyncio.sleep(8)
+        table.note = "calm"
+
+
+async def traffic(ways: dict[str, str], table: Table, seconds: float) -> None:
+    """Requests until the time is up; the table gets each as it ends."""
+    connections, start, rng = http1.Connections(), time.monotonic(), random.Random(2)
+    under_way: set[asyncio.Task[None]] = set()
+
+    async def one(way: str, arrival: Arrival) -> None:
+        table.add(way, await ask(ways[way], arrival, connections))
+
+    for arrival in arrivals(1, RATE, seconds):
+        await asyncio.sleep(max(0.0, start + arrival.at - time.monotonic()))
+        way = "processor" if rng.random() < PROXY_SHARE else "http"
+        task = asyncio.ensure_future(one(way, arrival))
+        under_way.add(task)
+        task.add_done_callback(under_way.discard)
+    if under_way:
+        await asyncio.wait(under_way)
+    connections.close()
+
+
+async def demo(seconds: float, as_json: bool) -> int:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    fleet, node = await Fleet(SERVERS).start(), NodeProcess()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "demo.toml"
+        path.write_text(operators_file(fleet.catalog.address, later_attempts=True))
+        try:
+            await node.start(path)
+        except RuntimeError as error:
+            print(error, file=sys.stderr)
+            return 1
+        if as_json:
+            ready = node.fronts | {"servers": [server.address for server in fleet.servers]}
+            print(json.dumps(ready), flush=True)
+            await until(stop, seconds)
+        else:
+            await show(fleet, node, stop, seconds)
+        code = await node.stop()
+    fleet.stop()
+    return code
+
+
+async def until(stop: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await stop.wait()
+    except TimeoutError:
+        pass
+
+
+async def show(fleet: Fleet, node: NodeProcess, stop: asyncio.Event, seconds: float) -> None:
+    proxy = await Proxy(node.fronts["processor"]).start()
+    table = Table(fleet, node)
+    ways = {"http": node.fronts["http"], "processor": proxy.address}
+    tasks = [
+        asyncio.ensure_future(work)
+        for work in (traffic(ways, table, seconds), table.paint(), troubles(fleet, table, random.Random(3)))
+    ]
+    await until(stop, seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await proxy.stop()
+    print("in all:", ", ".join(f"{count} {outcome}" for outcome, count in table.total.items()))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="./demo", description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0, metavar="N", help="how long to run (60)")
+    parser.add_argument(
+        "--json", action="store_true", help="print one line with the fronts' addresses, then only serve"
+    )
+    chosen = parser.parse_args()
+    if chosen.seconds <= 0:
+        parser.error("--seconds must be above 0")
+    return asyncio.run(demo(chosen.seconds, chosen.json))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,82 @@
+"""A small installation on loopback: dispatch servers, their list, and an operator's file that fits them."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+from standins.catalog import Catalog
+from standins.server import DispatchServer
+from standins.traffic import KINDS, TENANTS
+
+WORK = {"cab-lookup": (51.0, 93.0), "ride-assign": (67.0, 120.0)}  # ms
+KINDS_OF_MACHINE = ("k2-fast", "k3-slow")
+QUOTA = 288.0  # requests a second that all tenants' shares come to
+
+
+class Fleet:
+    """Servers and their catalog, with the troubles that can befall them."""
+
+    def __init__(self, count: int, seed: int = 1, work: dict[str, tuple[float, float]] = WORK) -> None:
+        rng = random.Random(seed)
+        self.servers = []
+        for number in range(count):
+            fast = rng.random() < 0.35
+            server = DispatchServer(
+                f"s-{number + 1}",
+                work,
+                cores=2 if fast else 3,
+                kind=KINDS_OF_MACHINE[0 if fast else 1],
+                seed=seed,
+            )
+            self.servers.append(server)
+
+    async def start(self) -> Fleet:
+        for server in self.servers:
+            await server.start()
+        self.catalog = await Catalog([server.entry() for server in self.servers]).start()
+        return self
+
+    def stop(self) -> None:
+        self.catalog.stop()
+        for server in self.servers:
+            server.stop()
+
+    def drain(self, server: DispatchServer) -> None:
+        """Told by the list only: the server itself goes on taking what comes."""
+        server.state = "leaving"
+        self.catalog.change(server.entry())
+
+    def leave(self, server: DispatchServer) -> None:
+        server.stop()
+        server.state = "left"
+        self.catalog.change(server.entry())
+
+    async def come_back(self, server: DispatchServer) -> None:
+        """The same server, started anew and cold."""
+        await server.start(server.port)
+        server.state, server.started_at = "active", int(time.time() * 1000)
+        self.catalog.change(server.entry())
+
+
+def operators_file(catalog: str, **processor: Any) -> str:
+    """The text of a file that serves such a fleet on both fronts, on ports of the system's choice."""
+    lines = [
+        '[node]\nname = "demo"\nzone = "angyalfold"\nseed = "7"',
+        f'[fleet]\nzones = ["angyalfold"]\nkinds = ["{KINDS_OF_MACHINE[0]}", "{KINDS_OF_MACHINE[1]}"]',
+        "cold_from = 0.32\nramp_ms = 8800\nwarm_keys = true",
+        "[retry]\nmax_attempts = 4\nmax_retry_after_ms = 600",
+    ]
+    for kind in KINDS:
+        lines += [
+            f'[[class]]\nname = "{kind.name}"\naim_ms = {kind.aim}\ndeadline_ms = {kind.deadline}',
+            f'worth = {kind.worth}\neffect = "{"keyed" if kind.keyed else "safe"}"',
+            "window_ms = 6000" if kind.keyed else "",
+        ]
+    for name, share in TENANTS.items():
+        lines.append(f'[[tenant]]\nname = "{name}"\nquota_per_s = {QUOTA * share:.0f}')
+    lines.append(f'[members]\ncatalog = "{catalog}"')
+    lines.append('[fronts.http]\nlisten = "127.0.0.1:0"\n[fronts.processor]\nlisten = "127.0.0.1:0"')
+    lines += [f"{name} = {str(value).lower()}" for name, value in processor.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/standins/traffic.py
@@ -0,0 +1,130 @@
+"""Clients: requests of the brief's classes and tenants at seeded times, and what came of each."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from standins import http1
+
+TENANTS = {
+    "fovarosi": 0.26,
+    "pesti": 0.16,
+    "budai": 0.13,
+    "debreceni": 0.11,
+    "szegedi": 0.10,
+    "gyori": 0.08,
+    "pecsi": 0.06,
+    "miskolci": 0.05,
+    "kecskemeti": 0.05,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Kind:
+    """A class of requests, in ms."""
+
+    name: str
+    share: float
+    aim: float
+    deadline: float
+    worth: float
+    keyed: bool
+
+
+LOOKUP = Kind("cab-lookup", 0.56, 580.0, 1400.0, 2.0, False)
+ASSIGN = Kind("ride-assign", 0.44, 750.0, 1900.0, 8.0, True)
+KINDS = (LOOKUP, ASSIGN)
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request to come: all of it is drawn ahead."""
+
+    at: float  # s from the start
+    kind: Kind
+    tenant: str
+    name: str  # its id
+    ride: str  # what it is about
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    arrival: Arrival
+    status: int  # 0: no answer within its time
+    took: float  # ms
+    retry_after: str
+
+    @property
+    def outcome(self) -> str:
+        if self.status == 200:
+            return "served"
+        return "refused" if self.status in (429, 503) else "failed" if self.status else "lost"
+
+    @property
+    def worth(self) -> float:
+        """What the answer is worth: all within the aim, nothing after it."""
+        return self.arrival.kind.worth if self.status == 200 and self.took <= self.arrival.kind.aim else 0.0
+
+
+def arrivals(seed: int, rate: float, seconds: float, rides: int = 500) -> Iterator[Arrival]:
+    """Poisson arrivals at `rate` a second; of the rides a few are far more popular than the rest."""
+    rng, at, number = random.Random(seed), 0.0, 0
+    while (at := at + rng.expovariate(rate)) < seconds:
+        number += 1
+        kind = LOOKUP if rng.random() < LOOKUP.share else ASSIGN
+        tenant = rng.choices(list(TENANTS), list(TENANTS.values()))[0]
+        ride = int(rides * rng.random() ** 3)
+        yield Arrival(at, kind, tenant, f"{seed:x}-{number:x}", f"ride{ride}")
+
+
+async def ask(address: str, arrival: Arrival, connections: http1.Connections) -> Result:
+    """Send one request; its time counts from here."""
+    kind, began = arrival.kind, time.monotonic()
+    headers = {
+        "host": "backend.local",
+        "request-id": arrival.name,
+        "tenant": arrival.tenant,
+        "request-timeout": f"{kind.deadline:.0f}m",
+    }
+    if kind.keyed:
+        headers["idempotency-key"] = f"key-{arrival.name}"
+    target = f"/{kind.name}/{arrival.ride}"
+    status, wait = 0, ""
+    try:
+        async with asyncio.timeout(kind.deadline / 1000):
+            reader, writer = await connections.open(address)
+            try:
+                writer.write(http1.request("POST" if kind.keyed else "GET", target, headers))
+                answer = await http1.read_message(reader)
+            except BaseException:
+                writer.close()
+                raise
+        status, wait = answer.status, answer.headers.get("retry-after", "")
+        if answer.headers.get("connection") == "close":
+            writer.close()
+        else:
+            connections.keep(address, reader, writer)
+    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
+        pass
+    return Result(arrival, status, (time.monotonic() - began) * 1000, wait)
+
+
+async def play(address: str, coming: list[Arrival]) -> list[Result]:
+    """Send all arrivals at their times, whatever came of those before."""
+    connections, start = http1.Connections(), time.monotonic()
+    asking: list[asyncio.Task[Result]] = []
+    for arrival in coming:
+        await asyncio.sleep(max(0.0, start + arrival.at - time.monotonic()))
+        asking.append(asyncio.ensure_future(ask(address, arrival, connections)))
+    results = list(await asyncio.gather(*asking))
+    connections.close()
+    return results
+
+
+def served_share(results: list[Result]) -> float:
+    """Worth answered within the aim over the worth asked for."""
+    return sum(r.worth for r in results) / sum(r.arrival.kind.worth for r in results)
