--- a/badgercart/cli.py
+++ b/badgercart/cli.py
@@ -35,6 +35,20 @@
     proxies.add_argument("--ca", metavar="PEM", help="the authority of its certificate, where it has TLS")
     proxies.add_argument("--cert", metavar="PEM", help="this client's certificate")
     proxies.add_argument("--key", metavar="PEM", help="and its key")
+    members = commands.add_parser("members", help="list and change the entries in etcd")
+    if arguments[:1] == ["members"]:
+        # Its libraries are heavy, and installed only where etcd is followed.
+        from badgercart.membership.etcd import members as of_members
+
+        of_members.add_arguments(members)
+        chosen = parser.parse_args(arguments)
+        try:
+            return of_members.run(chosen)
+        except of_members.MembersError as error:
+            print(f"badgercart: {error}", file=sys.stderr)
+            return error.status
+        except KeyboardInterrupt:
+            return 0
     chosen = parser.parse_args(arguments)
     if chosen.command == "processor":
         return ask_proxies(chosen)
@@ -56,7 +70,9 @@
         print(f"badgercart: {error}", file=sys.stderr)
         return 2
     except ImportError as error:
-        print(f"badgercart: {error}; see requirements-processor.txt", file=sys.stderr)
+        print(
+            f"badgercart: {error}; see requirements-processor.txt and requirements-etcd.txt", file=sys.stderr
+        )
         return 2
     return 0
 
--- a/badgercart/core/roster.py
+++ b/badgercart/core/roster.py
@@ -51,6 +51,8 @@
         self.join = join
         self.on_change: list[Callable[[Member], None]] = []
         self.told = False  # whether any list has come
+        self.suspended = False  # whether the list is too old to send anything by it
+        self.version = 0  # of the list
         self.listed: dict[int, Member] = {}
         self.left: dict[int, Member] = {}  # those that are gone, the longest first
         self.leaving: dict[int, float] = {}  # when it was told that one drains or is gone
@@ -59,6 +61,11 @@
     def take(self, raw: Mapping[str, Any], kind: ListKind | None = None) -> int:
         """Take over a list or its changes, and give its version; ValueError where the reader gives it."""
         told = self.reader.read(raw, kind)
+        self.apply(told)
+        return told.version
+
+    def apply(self, told: MemberList) -> None:
+        """Take over a list or its changes, whole."""
         now = self.join.clock()
         if told.kind is not ListKind.DELTA:
             named = {member.entry.id for member in told.members}
@@ -72,8 +79,33 @@
             more = f" and {len(told.members) - 4} more" if len(told.members) > 4 else ""
             log.info("list %d, %s: %s%s", told.version, told.kind.name.lower(), changed, more)
         self.told = True
-        self.join.tell(ServerList(told.kind, told.version, [member.entry for member in told.members]))
-        return told.version
+        self.version = told.version
+        if not self.suspended:
+            self.join.tell(ServerList(told.kind, told.version, [member.entry for member in told.members]))
+        elif told.kind is not ListKind.DELTA or told.members:
+            self.tell_suspended()
+
+    def suspend(self, suspended: bool) -> None:
+        """Have nothing new sent by this list, or go on with it.
+
+        The policy is told that all drain: it keeps what it learned of them, refuses what it may refuse, and
+        fails the rest. Connections and attempts that are out stay as they are."""
+        if suspended == self.suspended:
+            return
+        self.suspended = suspended
+        if suspended:
+            self.tell_suspended()
+        else:
+            entries = [member.entry for member in self.listed.values()]
+            self.join.tell(ServerList(ListKind.FULL, self.version, entries))
+
+    def tell_suspended(self) -> None:
+        entries = [
+            replace(member.entry, state=State.DRAINING)
+            for member in self.listed.values()
+            if member.entry.state is State.READY
+        ]
+        self.join.tell(ServerList(ListKind.FULL, self.version, entries))
 
     def note(self, member: Member, now: float) -> None:
         """Take over one line."""
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -8,6 +8,7 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol, cast
@@ -72,10 +73,18 @@
     """The front asks whether the node can serve."""
 
 
+@dataclass(slots=True)
+class Page:
+    """An operator asks for a page."""
+
+    body: Callable[[], bytes]
+
+
 class Handler(Protocol):
     """What takes the requests."""
 
     stopping: bool
+    pages: dict[bytes, Callable[[], bytes]]
 
     @property
     def healthy(self) -> bool: ...
@@ -87,6 +96,7 @@
         """The client has gone away."""
 
 
+Item = ClientRequest | BadRequest | Health | Page
 Wait = dict["ClientConnection", float]  # and since when
 
 
@@ -299,7 +309,7 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         # What has come in whole and waits for its turn, and whether to keep the connection after it.
-        self.waiting: deque[tuple[ClientRequest | BadRequest | Health, bool]] = deque()
+        self.waiting: deque[tuple[Item, bool]] = deque()
         self.backlog = b""  # read and not parsed, while enough requests wait
         self.request: ClientRequest | None = None  # that is being served
         self.request_id = 0  # its number; 0: none
@@ -347,7 +357,7 @@
         if wait is not None:
             wait[self] = self.listener.loop.time() if since is None else since
 
-    def release(self, item: ClientRequest | BadRequest | Health | None) -> None:
+    def release(self, item: Item | None) -> None:
         if isinstance(item, ClientRequest):
             self.listener.open_ids.discard(item.name)
 
@@ -456,12 +466,14 @@
         self.served = True
         self.forget()
 
-    def whole_request(self) -> ClientRequest | Health:
+    def whole_request(self) -> ClientRequest | Health | Page:
         headers, url = self.headers, self.url
         if url == HEALTH_PATH:
             if self.parser.get_method() != b"GET":
                 raise BadRequest(405, b"Allow: GET\r\n")
             return Health()
+        if (page := self.listener.handler.pages.get(url)) is not None:
+            return Page(page)
         method = self.parser.get_method()
         if headers.bad or headers.timeout is None or (self.body and method == b"GET"):
             raise BadRequest(400)
@@ -504,7 +516,7 @@
         self.advancing = False
         self.place()
 
-    def begin(self, item: ClientRequest | BadRequest | Health) -> None:
+    def begin(self, item: Item) -> None:
         handler = self.listener.handler
         self.put(None)
         if isinstance(item, ClientRequest):
@@ -512,6 +524,8 @@
             handler.take(self, item)
         elif isinstance(item, BadRequest):
             self.answer(item.status, extra=item.extra)
+        elif isinstance(item, Page):
+            self.answer(200, item.body(), b"application/json")
         elif handler.healthy and not handler.stopping:
             self.answer(200, b"ok\n", b"text/plain")
         else:
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
@@ -35,10 +36,11 @@
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, join.ended)
         roster.on_change.append(self.pool.update)
         self.listener = Listener(loop, config, self, room - servers)
+        self.pages: dict[bytes, Callable[[], bytes]] = {}  # what operators may ask of the listener, by path
 
     @property
     def healthy(self) -> bool:
-        return self.roster.told
+        return self.roster.told and not self.roster.suspended
 
     def take(self, client: ClientConnection, request: ClientRequest) -> None:
         client.request_id = self.join.number()
--- /dev/null
+++ b/badgercart/membership/etcd/client.py
@@ -0,0 +1,389 @@
+"""Drives the follower over etcd's gRPC API: connections, pages, the watch, tokens."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import grpc
+import grpc.aio
+from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
+
+from badgercart.core.roster import Member, MemberList
+from badgercart.membership.etcd import follower as machine
+from badgercart.membership.etcd.settings import EtcdSettings
+from badgercart.membership.freshness import Freshness, Rule, State
+
+SAVE_EVERY = 5.0  # s between writes of the known file
+DELETE = kv_pb2.Event.DELETE
+MAX_MESSAGE = 64 << 20  # bytes of one answer
+# A network that goes silent under a connection is noticed within these times even where nothing is asked.
+KEEPALIVE = (("grpc.keepalive_time_ms", 2000), ("grpc.keepalive_timeout_ms", 1000))
+
+log = logging.getLogger("badgercart")
+
+
+class Ended(Exception):
+    """What was open has ended; why, for the follower."""
+
+    def __init__(self, failure: machine.Failure, text: str) -> None:
+        super().__init__(text)
+        self.failure = failure
+
+
+def failure_of(error: grpc.RpcError) -> machine.Failure:
+    """etcd's errors by their codes and texts (`rpctypes/error.go`)."""
+    code, text = error.code(), error.details() or ""
+    if "compacted" in text:
+        return machine.Failure.COMPACTED
+    if code in (grpc.StatusCode.UNAUTHENTICATED, grpc.StatusCode.PERMISSION_DENIED) or "user" in text:
+        return machine.Failure.DENIED
+    if code in (grpc.StatusCode.UNAVAILABLE, grpc.StatusCode.DEADLINE_EXCEEDED):
+        return machine.Failure.UNREACHABLE
+    return machine.Failure.OTHER
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """The first key behind all that begin so."""
+    for at in range(len(prefix) - 1, -1, -1):
+        if prefix[at] < 255:
+            return prefix[:at] + bytes((prefix[at] + 1,))
+    return b"\0"
+
+
+def open_channel(settings: EtcdSettings, address: tuple[str, int]) -> Any:
+    """Raises OSError where a PEM file can't be read."""
+    target = f"{address[0]}:{address[1]}"
+    options = (
+        *KEEPALIVE,
+        ("grpc.max_receive_message_length", MAX_MESSAGE),
+        ("grpc.use_local_subchannel_pool", 1),
+        ("grpc.initial_reconnect_backoff_ms", 100),
+        ("grpc.max_reconnect_backoff_ms", 1000),
+    )
+    if settings.tls is None:
+        return grpc.aio.insecure_channel(target, options=options)
+    tls = settings.tls
+    pem = [Path(path).read_bytes() if path else None for path in (tls.ca, tls.key, tls.cert)]
+    return grpc.aio.secure_channel(target, grpc.ssl_channel_credentials(*pem), options=options)
+
+
+async def authenticate(settings: EtcdSettings, channel: Any) -> str | None:
+    """A token, where there is a user. The password is read anew each time."""
+    if settings.user is None:
+        return None
+    password = Path(settings.password_file or os.devnull).read_text().rstrip("\n")
+    request = rpc_pb2.AuthenticateRequest(name=settings.user, password=password)
+    stub = rpc_pb2_grpc.AuthStub(channel)
+    return str((await stub.Authenticate(request, timeout=settings.call / 1000)).token)
+
+
+def header_of(header: Any) -> machine.Header:
+    return machine.Header(header.cluster_id, header.revision)
+
+
+class EtcdSource:
+    """Keeps a roster's list and its age. `on_list` takes whole lists and changes, `on_state` their age."""
+
+    def __init__(
+        self,
+        settings: EtcdSettings,
+        read: Callable[[dict[str, Any]], Member],
+        on_list: Callable[[MemberList], None],
+        on_state: Callable[[State], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.on_list, self.on_state, self.clock = on_list, on_state, clock
+        self.follower = machine.Follower(settings, read, rng)
+        self.freshness = Freshness(Rule(settings.doubtful_after, settings.stale_after))
+        self.state = State.STALE
+        self.member = rng.randrange(len(settings.endpoints))  # nodes spread over the members
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.saving: asyncio.Task[None] | None = None
+        self.asked = 0.0  # when the question was sent that waits for its answer; 0: none
+        self.failing = False
+        self.bytes = 0  # received in lists and changes
+        self.lists = 0  # whole lists fetched
+
+    # Life.
+
+    def start(self) -> None:
+        self.on_state(self.state)
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def close(self) -> None:
+        for job in (self.task, self.timer, self.saving):
+            if job is not None:
+                job.cancel()
+
+    def move(self, settings: EtcdSettings) -> None:
+        """Other endpoints or credentials: the list stays in force, its age runs on, all is asked anew."""
+        if settings == self.settings:
+            return
+        if self.task is not None:
+            self.task.cancel()
+        self.settings = self.follower.settings = settings
+        self.follower.prefix = settings.prefix.encode()
+        self.follower.forget()
+        self.member = 0
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self) -> None:
+        while True:
+            delay = 0.0
+            try:
+                await self.follow()
+            except Ended as ended:
+                if not self.failing:  # one line for each stretch of failures
+                    where = "{}:{}".format(*self.settings.endpoints[self.member])
+                    log.warning("etcd at %s: %s", where, ended)
+                self.failing = True
+                delay = self.obey_wait(self.follower.failed(ended.failure))
+            except LeaveStream as left:
+                delay = self.wait(left.wait)
+            except Exception:
+                # Whatever it was: a follower that dies of it would leave the node with its list for ever.
+                log.exception("etcd: unforeseen failure; the whole list is fetched")
+                self.follower.forget()
+                delay = self.obey_wait(self.follower.failed(machine.Failure.OTHER))
+            await asyncio.sleep(delay / 1000)
+
+    def obey_wait(self, orders: list[machine.Order]) -> float:
+        (order,) = orders
+        assert isinstance(order, machine.Wait)
+        return self.wait(order)
+
+    def wait(self, order: machine.Wait) -> float:
+        if order.next_member:
+            self.member = (self.member + 1) % len(self.settings.endpoints)
+        return order.delay
+
+    async def follow(self) -> None:
+        """One connection, until it ends."""
+        try:
+            channel = open_channel(self.settings, self.settings.endpoints[self.member])
+        except OSError as error:
+            raise Ended(machine.Failure.DENIED, f"{error.filename}: {error.strerror}") from None
+        self.asked = 0.0
+        try:
+            token = await authenticate(self.settings, channel)
+            # A member that is cut off from the others must not feed us its past.
+            metadata = [("hasleader", "true"), *([("token", token)] if token else [])]
+            orders = self.follower.begin()
+            while True:
+                following = await self.obey(orders, channel, metadata)
+                if following is None:
+                    raise Ended(machine.Failure.OTHER, "nothing more was asked for")
+                orders = following
+        except grpc.RpcError as error:
+            raise Ended(failure_of(error), f"{error.code().name.lower()}: {error.details()}") from None
+        except OSError as error:
+            raise Ended(machine.Failure.DENIED, str(error)) from None
+        finally:
+            await channel.close()
+
+    async def obey(
+        self, orders: list[machine.Order], channel: Any, metadata: list[tuple[str, str]]
+    ) -> list[machine.Order] | None:
+        following: list[machine.Order] | None = None
+        for order in orders:
+            if isinstance(order, machine.List):
+                following = await self.page(order, channel, metadata)
+            elif isinstance(order, machine.Watch):
+                await self.watch(order, channel, metadata)
+            else:
+                self.obey_now(order)
+        return following
+
+    def obey_now(self, order: machine.Order) -> None:
+        """What needs no call."""
+        if isinstance(order, machine.Deliver):
+            self.on_list(order.told)
+            self.save_later()
+        elif isinstance(order, machine.Report):
+            log.warning("etcd: %s", order.text)
+        elif isinstance(order, machine.Proven):
+            self.proven()
+        elif isinstance(order, machine.Wait):
+            raise LeaveStream(order)
+
+    # Calls.
+
+    async def page(
+        self, order: machine.List, channel: Any, metadata: list[tuple[str, str]]
+    ) -> list[machine.Order]:
+        if not order.revision:
+            self.asked, self.lists = self.clock(), self.lists + 1
+        prefix = self.settings.prefix.encode()
+        request = rpc_pb2.RangeRequest(
+            key=order.start, range_end=prefix_end(prefix), revision=order.revision, limit=order.limit
+        )
+        stub = rpc_pb2_grpc.KVStub(channel)
+        answer = await stub.Range(request, metadata=metadata, timeout=self.settings.call / 1000)
+        self.bytes += answer.ByteSize()
+        pairs = [machine.Pair(kv.key, kv.value, kv.mod_revision) for kv in answer.kvs]
+        page = machine.Page(header_of(answer.header), pairs, answer.more)
+        return self.follower.page(page, self.clock())
+
+    async def watch(self, order: machine.Watch, channel: Any, metadata: list[tuple[str, str]]) -> None:
+        prefix = self.settings.prefix.encode()
+        call = rpc_pb2_grpc.WatchStub(channel).Watch(metadata=metadata)
+        create = rpc_pb2.WatchCreateRequest(
+            key=prefix,
+            range_end=prefix_end(prefix),
+            start_revision=order.start,
+            progress_notify=True,
+            fragment=True,
+        )
+        asking: asyncio.Future[None] | None = None
+        reading: asyncio.Future[Any] | None = None
+        try:
+            async with asyncio.timeout(self.settings.call / 1000):
+                await call.write(rpc_pb2.WatchRequest(create_request=create))
+            self.asked = 0.0
+            asking = asyncio.ensure_future(self.ask_progress(call))
+            while True:
+                reading = next_one = asyncio.ensure_future(call.read())
+                await asyncio.wait((next_one, asking), return_when=asyncio.FIRST_COMPLETED)
+                if not next_one.done():
+                    await asking  # raises what it found
+                answer = await next_one
+                if answer is grpc.aio.EOF:
+                    raise Ended(machine.Failure.UNREACHABLE, "the watch ended")
+                self.told(answer)
+        except TimeoutError:
+            raise Ended(machine.Failure.UNREACHABLE, "the watch can't be had") from None
+        finally:
+            for task in (asking, reading):
+                if task is not None:
+                    task.cancel()
+            call.cancel()
+
+    async def ask_progress(self, call: Any) -> None:
+        """Ask over and over whether all has been told; silence ends the connection."""
+        request = rpc_pb2.WatchRequest(progress_request=rpc_pb2.WatchProgressRequest())
+        while True:
+            self.asked = self.clock()
+            await call.write(request)
+            while self.asked:
+                left = self.asked + self.settings.silence - self.clock()
+                if left <= 0:
+                    raise Ended(machine.Failure.UNREACHABLE, "the watch is silent")
+                await asyncio.sleep(min(left, self.settings.progress) / 1000)
+            await asyncio.sleep(self.settings.progress / 1000)
+
+    def told(self, answer: Any) -> None:
+        """One watch response."""
+        self.bytes += answer.ByteSize()
+        header = header_of(answer.header)
+        plain = not (answer.events or answer.created or answer.canceled or answer.fragment)
+        if (
+            plain and answer.watch_id == -1
+        ):  # to a question for progress; others come unasked and prove nothing
+            orders = self.follower.progress(header)
+        else:
+            events = [
+                machine.Pair(
+                    event.kv.key, None if event.type == DELETE else event.kv.value, event.kv.mod_revision
+                )
+                for event in answer.events
+            ]
+            change = machine.Change(
+                header,
+                events,
+                answer.created,
+                answer.canceled,
+                answer.compact_revision,
+                answer.fragment,
+                answer.cancel_reason,
+            )
+            orders = self.follower.change(change, self.clock())
+        for order in orders:
+            self.obey_now(order)
+
+    # The age of the list.
+
+    def proven(self) -> None:
+        """What was asked for last has been answered: the list was whole when it was asked."""
+        if self.asked:
+            self.freshness.proof(self.asked)
+            self.asked = 0.0
+        if self.failing:
+            log.info("etcd at %s:%d answers", *self.settings.endpoints[self.member])
+            self.failing = False
+        self.look()
+
+    def look(self) -> None:
+        """Say a change of state, and wake up for the next one."""
+        now = self.clock()
+        state = self.freshness.state(now)
+        if state is not self.state:
+            level = logging.INFO if state is State.FRESH else logging.WARNING
+            age = self.freshness.age(now) / 1000
+            log.log(level, "the server list is %s: %.1f s old, was %s", state.value, age, self.state.value)
+            self.state = state
+            self.on_state(state)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = self.freshness.next_change(now)
+        if due is not None:
+            self.timer = asyncio.get_running_loop().call_later(max(0.0, due - now) / 1000 + 0.001, self.look)
+
+    # The list as it was last held, for a start while etcd is away.
+
+    def known(self) -> dict[str, Any] | None:
+        """The known file, or None where there is none that can be used."""
+        path = self.settings.known_file
+        if path is None:
+            return None
+        try:
+            raw = json.loads(Path(path).read_bytes())
+            return raw if isinstance(raw, dict) else None
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, RecursionError) as error:
+            log.warning("%s can't be used: %s", path, error)
+            return None
+
+    def save_later(self) -> None:
+        if self.settings.known_file is not None and (self.saving is None or self.saving.done()):
+            self.saving = asyncio.ensure_future(self.save())
+
+    async def save(self) -> None:
+        await asyncio.sleep(SAVE_EVERY)
+        lines = [json.loads(value) for value in self.follower.values.values()]
+        raw = {"generation": self.follower.revision, "reset": True, "instances": lines}
+        try:
+            await asyncio.to_thread(
+                replace_file, Path(self.settings.known_file or ""), json.dumps(raw).encode()
+            )
+        except OSError as error:
+            log.warning("the known list was not written: %s", error)
+
+
+class LeaveStream(Exception):
+    """The follower wants to begin again."""
+
+    def __init__(self, wait: machine.Wait) -> None:
+        super().__init__()
+        self.wait = wait
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """Whole or not at all."""
+    fresh = path.with_name(path.name + ".new")
+    with fresh.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    fresh.replace(path)
--- a/badgercart/operator/file.py
+++ b/badgercart/operator/file.py
@@ -10,6 +10,7 @@
 
 from badgercart.config import Address, Config
 from badgercart.fronts.processor.settings import HeaderNames, OldAnswers, ProcessorSettings, Tls
+from badgercart.membership.etcd.settings import EtcdSettings, EtcdTls
 from badgercart.operator.locate import lines_of
 from badgercart.operator.schema import (
     REQUIRED,
@@ -18,6 +19,7 @@
     Setting,
     Table,
     address,
+    addresses,
     choice,
     flag,
     headers,
@@ -117,10 +119,43 @@
     },
     many=True,
 )
+_E = EtcdSettings(())
+_ETCD = Table(
+    "the server list from etcd v3, one key an entry under a prefix",
+    {
+        "endpoints": Setting(addresses, REQUIRED, "the host:port of each member"),
+        "prefix": Setting(text, _E.prefix, "what the entries' keys begin with"),
+        "user": Setting(maybe(text), None, "the user, where etcd wants one"),
+        "password_file": Setting(maybe(text), None, "the file that holds the user's password"),
+        "page": Setting(whole(1, 10_000), _E.page, "entries in one page of the list"),
+        "progress_ms": _ms(_E.progress, "the time between questions whether the watch is whole", 10.0),
+        "silence_ms": _ms(_E.silence, "the time for an answer, after which the connection is given up", 10.0),
+        "call_ms": _ms(_E.call, "the time for a connection and for each page", 10.0),
+        "retry_first_ms": _ms(_E.retry_first, "the time before the first new try", 1.0),
+        "retry_most_ms": _ms(_E.retry_most, "the longest time before a new try", 1.0),
+        "doubtful_after_ms": _ms(_E.doubtful_after, "the age from which on the list is doubtful", 10.0),
+        "stale_after_ms": _ms(_E.stale_after, "the age from which on the list is stale", 10.0),
+        "when_stale": Setting(choice("refuse", "go-on"), _E.when_stale, "what happens then"),
+        "guard_share": Setting(number(0, 1), _E.guard_share, "a list with less of its servers is held back"),
+        "known_file": Setting(maybe(text), None, "where the list is kept for a start while etcd is away"),
+    },
+    {
+        "tls": Table(
+            "TLS to etcd, from PEM files",
+            {
+                "ca": Setting(text, REQUIRED, "the file with the authorities of etcd's certificates"),
+                "cert": Setting(maybe(text), None, "the file with this node's certificate"),
+                "key": Setting(maybe(text), None, "the file with its private key"),
+            },
+            optional=True,
+        )
+    },
+    optional=True,
+)
 _MEMBERS = Table(
     "where the server list comes from: one of these",
     {"catalog": Setting(maybe(address), None, "the host:port of the platform's discovery")},
-    {"server": _SERVER},
+    {"server": _SERVER, "etcd": _ETCD},
 )
 _HTTP = Table(
     "a listener for HTTP/1.1 clients",
@@ -220,6 +255,7 @@
     http: Address | None
     processor: ProcessorSettings | None
     catalog: Address | None
+    etcd: EtcdSettings | None
     servers: list[dict[str, Any]]  # lines of a server list, where it is written in the file
 
 
@@ -271,8 +307,12 @@
         checker.blame(("node", "seed"), "is not hexadecimal")
     if fronts["http"] is None and fronts["processor"] is None:
         checker.blame(("fronts",), "nobody may ask: switch on fronts.http or fronts.processor")
-    if (members["catalog"] is None) == (not members["server"]):
-        checker.blame(("members",), "the server list comes from either catalog or [[members.server]]")
+    sources = [name for name in ("catalog", "server", "etcd") if members[name]]
+    if len(sources) != 1:
+        words = "one of catalog, [[members.server]] and [members.etcd]"
+        checker.blame(("members",), f"the server list comes from {words}, not {len(sources)}")
+    if members["etcd"] is not None:
+        _check_etcd(members["etcd"], checker)
     for at, server in enumerate(members["server"]):
         for key, known in (("zone", fleet["zones"]), ("kind", fleet["kinds"])):
             if server[key] and server[key] not in known:
@@ -287,6 +327,37 @@
             checker.blame((*path, "old_answers", "refuse_after"), "is below no_fallbacks_after")
 
 
+def _check_etcd(etcd: dict[str, Any], checker: Checker) -> None:
+    path = ("members", "etcd")
+    if (etcd["user"] is None) != (etcd["password_file"] is None):
+        checker.blame((*path, "user"), "user and password_file go together")
+    if etcd["doubtful_after_ms"] > etcd["stale_after_ms"]:
+        checker.blame((*path, "doubtful_after_ms"), "is later than stale_after_ms")
+    if etcd["progress_ms"] >= etcd["doubtful_after_ms"]:
+        checker.blame((*path, "progress_ms"), "leaves no time for an answer before doubtful_after_ms")
+    if etcd["tls"] is not None and (etcd["tls"]["cert"] is None) != (etcd["tls"]["key"] is None):
+        checker.blame((*path, "tls", "cert"), "cert and key go together")
+
+
+def _etcd(values: dict[str, Any]) -> EtcdSettings:
+    plain = (
+        "endpoints",
+        "prefix",
+        "user",
+        "password_file",
+        "page",
+        "when_stale",
+        "guard_share",
+        "known_file",
+    )
+    times = ("progress", "silence", "call", "retry_first", "retry_most", "doubtful_after", "stale_after")
+    return EtcdSettings(
+        tls=EtcdTls(**values["tls"]) if values["tls"] else None,
+        **{name: values[name] for name in plain},
+        **{name: values[f"{name}_ms"] for name in times},
+    )
+
+
 def _build(values: dict[str, Any]) -> Installation:
     node, fleet, retry, fronts, members = (
         values[name] for name in ("node", "fleet", "retry", "fronts", "members")
@@ -350,6 +421,7 @@
         http=fronts["http"]["listen"] if fronts["http"] else None,
         processor=_processor(fronts["processor"], fleet["drain_grace_ms"]) if fronts["processor"] else None,
         catalog=members["catalog"],
+        etcd=_etcd(members["etcd"]) if members["etcd"] else None,
         servers=servers,
     )
 
--- a/badgercart/operator/run.py
+++ b/badgercart/operator/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import json
 import logging
 import random
 import signal
@@ -15,10 +16,14 @@
 from badgercart.fronts.http.front import HttpFront
 from badgercart.membership.catalog import Discovery
 from badgercart.membership.entries import ListReader
+from badgercart.membership.freshness import State
 from badgercart.operator.file import FileError, Installation, load
+from cottonhall.interface import ListKind
+from cottonhall.interface import State as ServerState
 
 if TYPE_CHECKING:
     from badgercart.fronts.processor.server import Processor
+    from badgercart.membership.etcd.client import EtcdSource
 
 log = logging.getLogger("badgercart")
 
@@ -30,13 +35,28 @@
         config = what.config
         self.what = what
         self.join = Join(config.settings, config.seed, loop)
-        self.roster = Roster(ListReader(config), self.join)
+        self.reader = ListReader(config)
+        self.roster = Roster(self.reader, self.join)
         self.http = HttpFront(config, self.join, self.roster, loop) if what.http else None
+        if self.http is not None:
+            self.http.pages[b"/_members"] = self.members_page
         self.processor: Processor | None = None
         if what.processor is not None:
             from badgercart.fronts.processor.server import Processor  # heavy: only where it is switched on
 
             self.processor = Processor(config, what.processor, self.join, self.roster, loop)
+        self.etcd: EtcdSource | None = None
+        if what.etcd is not None:
+            from badgercart.membership.etcd.client import EtcdSource  # heavy too
+
+            self.etcd = EtcdSource(
+                what.etcd,
+                self.reader.read_member,
+                self.roster.apply,
+                self.list_state,
+                self.join.clock,
+                random.Random(config.seed),
+            )
         self.discovery: Discovery | None = None
         if what.catalog is not None:
             self.discovery = Discovery(what.catalog, self.take_list, random.Random(config.seed))
@@ -44,12 +64,38 @@
     def take_list(self, raw: dict[str, Any]) -> int:
         return self.roster.take(raw)
 
-    async def start(self) -> None:
-        """Raises OSError where an address can't be had."""
+    def members_page(self) -> bytes:
+        """What this node believes of the list, for `members list --from-node`."""
+        names = {ServerState.READY: "active", ServerState.DRAINING: "leaving"}
+        lines = [
+            {"instanceId": m.name, "hostPort": m.endpoint, "lifecycle": names[m.entry.state]}
+            for m in self.roster.listed.values()
+        ]
+        state = self.etcd.state.value if self.etcd is not None else "of no known age"
+        told = {"generation": self.roster.version, "state": state, "instances": lines}
+        return json.dumps(told).encode()
+
+    def list_state(self, state: State) -> None:
+        """The age of etcd's list has passed a limit, or is as it should be again."""
+        assert self.etcd is not None
+        self.roster.suspend(state is State.STALE and self.etcd.settings.when_stale == "refuse")
+
+    def start_list(self) -> None:
         if self.discovery is not None:
             self.discovery.start()
+        elif self.etcd is not None:
+            self.etcd.start()
+            if (known := self.etcd.known()) is not None:
+                try:
+                    self.roster.take(known, ListKind.CACHED)
+                except ValueError as error:
+                    log.warning("the known list is malformed: %s", error)
         else:
             self.take_list({"generation": 1, "reset": True, "instances": self.what.servers})
+
+    async def start(self) -> None:
+        """Raises OSError where an address can't be had."""
+        self.start_list()
         if self.http is not None:
             self.http.start()
         if self.processor is not None:
@@ -66,7 +112,9 @@
             return
         if self.discovery is not None and what.catalog is not None:
             self.discovery.move(what.catalog)
-        elif self.discovery is None and what.servers:
+        elif self.etcd is not None and what.etcd is not None:
+            self.etcd.move(what.etcd)
+        elif self.discovery is None and self.etcd is None and what.servers:
             self.take_list({"generation": 1, "reset": True, "instances": what.servers})
         else:
             log.error("where the server list comes from takes a restart; it stays as it was")
@@ -81,7 +129,7 @@
         log.info("stopped")
 
     def close(self) -> None:
-        for part in (self.http, self.processor, self.discovery):
+        for part in (self.http, self.processor, self.discovery, self.etcd):
             if part is not None:
                 part.close()
 
--- a/badgercart/operator/schema.py
+++ b/badgercart/operator/schema.py
@@ -111,6 +111,12 @@
     return parse_address(value)
 
 
+def addresses(value: Any) -> tuple[tuple[str, int], ...]:
+    if not isinstance(value, list) or not value:
+        raise ValueError(f"{value!r} is no list of host:port")
+    return tuple(address(item) for item in value)
+
+
 def names(value: Any) -> tuple[str, ...]:
     if not isinstance(value, list) or len(set(map(str, value))) != len(value):
         raise ValueError(f"{value!r} is no list of different names")
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect, insort
+from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
+from cottonhall.fleet import Ring, Sizes
 from cottonhall.interface import (
     MAY_RUN_ON, NEVER_RAN, Action, Cancel, Diverted, Effect, Event, Fail, Group, ListKind, Log, Outcome,
     Refuse, Request, Result, Resume, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake,
@@ -44,6 +45,8 @@
 NODES = 6  # nodes that then share a stretch: fewer know more of its servers, but its keys are colder
 FEW = 8  # servers in a stretch at least: enough to tell good from bad
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
+POINTS_AT_ONCE = 2048  # points that are placed on the ring with a list; of more, SLICE go with each event
+SLICE = 256
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
@@ -109,9 +112,18 @@
         self.settings, self.random = settings, random.Random(seed)
         self.servers: dict[int, Server] = {}
         self.ready: list[int] = []  # in the order of their hashes, the same at every node
+        self.marks: list[int] = []  # these hashes
+        self.cold: set[int] = set()  # of the ready ones, those that may be cold
+        self.sizes: dict[int, Sizes] = {}  # of the ready ones, by kind
+        self.placed: dict[int, ServerEntry] = {}  # their entries as all of these have them
+        self.noted: set[int] = set()  # servers that a list has named since
+        self.groups = 1  # stretches that the fleet is in
         self.start, self.span = 0, 1  # our stretch of the fleet
         self.ours: list[int] = []  # its servers
-        self.ring: list[tuple[int, int]] = []  # places of its servers
+        self.ring = Ring()  # places of its servers
+        self.points: dict[int, int] = {}  # how many each of them has there
+        self.unplaced: dict[int, None] = {}  # those that have too few or too many yet
+        self.rested: set[int] = set()  # servers that rest or did, until they prove themselves
         self.jobs: dict[int, Job] = {}
         n = len(settings.classes)
         self.pace = min(1.0, min(c.aim for c in settings.classes) / AIM)
@@ -142,6 +154,8 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now = now
         self.out: list[Action] = []
+        if self.unplaced:
+            self.place_points(SLICE)
         if isinstance(event, Request):
             self.on_request(event)
         elif isinstance(event, Outcome):
@@ -352,7 +366,7 @@
 
     def draw(self, key: int) -> Iterator[int]:
         """Server ids in the order to look at them."""
-        if key and self.settings.warm_keys and self.ready:
+        if key and self.settings.warm_keys and self.ring.blocks:
             # Where servers remember keys, the key's own places come first; one that draws much has more.
             places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
             first = int(self.random.random() * places)
@@ -368,8 +382,7 @@
 
     def place(self, key: int, number: int) -> int:
         """A key's place: the next point of the ring."""
-        spot = bisect(self.ring, (mix(key + number * 0x632BE59BD9B4E019 & MASK), 0))
-        return self.ring[spot % len(self.ring)][1]
+        return self.ring.after(mix(key + number * 0x632BE59BD9B4E019 & MASK))
 
     def strength(self, server: Server) -> float:
         """What a server can do by listed size and by the learned pace of its kind; the strongest: 1."""
@@ -506,6 +519,8 @@
         else:
             health.fails *= 0.7
             health.rest_until, health.strikes = 0.0, health.strikes // 2
+            if server.entry.id in self.rested and not any(h.rest_until for h in server.health):
+                self.rested.discard(server.entry.id)
 
     def suspect(self, server: Server, cls: int, result: int, weight: float) -> None:
         """A failure: the server rests, for this class or for all, if it stands out."""
@@ -519,8 +534,10 @@
         for other, health in enumerate(server.health):
             health.fails += (gain if other == cls else others) * (1.0 - health.fails)
             if health.fails > SUSPECT_AT + 2 * self.errors and health.rest_until <= self.now:
-                resting = sum(self.servers[i].health[other].rest_until > self.now for i in self.ours)
+                resters = [self.servers[i] for i in self.rested if i in self.points]
+                resting = sum(s.health[other].rest_until > self.now for s in resters)
                 if resting < MAX_RESTING * self.span:
+                    self.rested.add(server.entry.id)
                     rest = REST * 2 ** min(health.strikes, 4) * (0.75 + 0.5 * self.random.random())
                     health.rest_until, health.strikes = self.now + rest, health.strikes + 1
 
@@ -563,30 +580,116 @@
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
+        self.settle()
         self.measure_fleet()
 
+    def settle(self) -> None:
+        """Take over who is ready now: one changed line must not cost a look at all of them."""
+        came: list[int] = []
+        went: set[int] = set()
+        new: dict[int, list[tuple[float, int]]] = {}
+        for server_id in self.noted:
+            server, before = self.servers.get(server_id), self.placed.pop(server_id, None)
+            after = server.entry if server is not None and server.entry.state is State.READY else None
+            if after is not None:
+                self.placed[server_id] = after
+            if before == after:
+                continue
+            self.unplaced[server_id] = None
+            self.cold.discard(server_id)
+            if before is not None:
+                self.sizes[before.kind].remove(before.size, server_id)
+                if after is None:
+                    went.add(server_id)
+            if after is not None:
+                new.setdefault(after.kind, []).append((after.size, server_id))
+                if after.started:
+                    self.cold.add(server_id)
+                if before is None:
+                    came.append(server_id)
+        self.noted.clear()
+        for kind, sizes in new.items():
+            self.sizes.setdefault(kind, Sizes()).add(sizes)
+        if len(went) + len(came) > 64:
+            self.ready = sorted([*(i for i in self.ready if i not in went), *came], key=mix)
+            self.marks = [mix(i) for i in self.ready]
+            return
+        for server_id in went:
+            at = self.ready.index(server_id, bisect_left(self.marks, mix(server_id)))
+            del self.ready[at], self.marks[at]
+        for server_id in came:
+            at = bisect_left(self.marks, mix(server_id))
+            self.marks.insert(at, mix(server_id))
+            self.ready.insert(at, server_id)
+
     def measure_fleet(self) -> None:
-        ready = [self.servers[i] for i in self.ready]
         # Groups of a few nodes share a stretch of the fleet where each holds little: of few servers a node
         # knows what they hold, and they accept only so many connections. A group places keys alike.
-        sparse = self.need < SPARSE * len(ready)
-        groups = max(1, min(self.settings.group_size // NODES, len(ready) // FEW)) if sparse else 1
+        count = len(self.ready)
+        sparse = self.need < SPARSE * count
+        groups = max(1, min(self.settings.group_size // NODES, count // FEW)) if sparse else 1
         group = self.settings.me * groups // self.settings.group_size
-        self.start = group * len(ready) // groups
-        self.span = max(1, (group + 1) * len(ready) // groups - self.start)
+        self.start = group * count // groups
+        self.span = max(1, (group + 1) * count // groups - self.start)
         self.ours = self.ready[self.start : self.start + self.span]
-        self.warm = max(sum(map(self.cold_share, ready)), 1.0)  # servers, cold ones by what they can do
-        self.strongest *= max(map(self.strength, ready), default=1.0) or 1.0  # a list may give no sizes
-        size = sum(s.entry.size for s in ready) / max(1, len(ready))  # 1 serves one at once
+        self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
+        share = sum(self.cold_share(self.servers[i]) for i in self.cold)
+        self.warm = max(count - len(self.cold) + share, 1.0)  # servers, cold ones by what they can do
+        kinds = [(kind, sizes) for kind, sizes in self.sizes.items() if sizes.order]
+        pace = {kind: self.kinds.get(kind, 1.0) for kind, _ in kinds}
+        strongest = [sizes.largest / pace[kind] / self.strongest for kind, sizes in kinds]
+        self.strongest *= max(strongest, default=1.0) or 1.0  # a list may give no sizes
+        size = sum(sizes.total for _, sizes in kinds) / max(1, count)  # 1 serves one at once
         self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
-        self.mean_strength = sum(map(self.strength, ready)) / max(1, len(ready))
-        points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
-        self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
+        strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
+        self.mean_strength = strength / max(1, count)
+        if groups != 1 or self.groups != 1:
+            for server_id in self.points.keys() ^ set(self.ours):
+                self.unplaced[server_id] = None
+        self.groups = groups
+        self.mark_points(pace)
+
+    def mark_points(self, pace: dict[int, float]) -> None:
+        """Find the servers that have too few or too many points on the ring, and place a few at once."""
+        strongest = self.strongest
+        for kind, paced in pace.items():
+
+            def level(size: float, paced: float = paced) -> int:
+                return int(RING_POINTS * (size / paced / strongest))
+
+            for server_id in self.sizes[kind].moved((paced, strongest), level, RING_POINTS):
+                self.unplaced[server_id] = None
+        if self.unplaced:
+            self.place_points(POINTS_AT_ONCE)
+
+    def in_stretch(self, server_id: int) -> bool:
+        at = bisect_left(self.marks, mix(server_id))
+        return self.start <= at < self.start + self.span and server_id in self.placed
+
+    def place_points(self, most: int) -> None:
+        """Give servers on the waiting list their points, until so many were placed or taken away."""
+        fresh: list[tuple[int, int]] = []
+        while self.unplaced and most > 0:
+            server_id = next(iter(self.unplaced))
+            del self.unplaced[server_id]
+            wanted, have = 0, self.points.pop(server_id, 0)
+            if self.in_stretch(server_id):
+                wanted = int(RING_POINTS * self.strength(self.servers[server_id])) + 1
+                self.points[server_id] = wanted
+            most -= 1 + abs(wanted - have)
+            for number in range(min(have, wanted), max(have, wanted)):
+                point = mix(server_id * 1000003 + number), server_id
+                if wanted < have:
+                    self.ring.remove(point)
+                else:
+                    fresh.append(point)
+        self.ring.extend(fresh)
 
     def forget(self, server: Server) -> None:
         """Ids are ever new: a server that is gone leaves with the outcome of its last attempt."""
         if server.entry.state is State.GONE and not server.open:
             self.servers.pop(server.entry.id, None)
+            self.rested.discard(server.entry.id)
 
     def note(self, entry: ServerEntry) -> None:
         """Take over one line of the list."""
@@ -598,12 +701,6 @@
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
             if old is not None:
                 self.servers[entry.id].open = old.open
-        was_ready = old is not None and old.entry.state is State.READY
+        self.noted.add(entry.id)
         self.servers[entry.id].entry = entry
         self.forget(self.servers[entry.id])
-        if was_ready == (entry.state is State.READY):
-            return
-        if was_ready:
-            self.ready.remove(entry.id)
-        else:
-            insort(self.ready, entry.id, key=mix)
--- /dev/null
+++ b/standins/etcd_store.py
@@ -0,0 +1,250 @@
+"""What the stand-in etcd holds: keys through their revisions, and leases. No I/O; times are given.
+
+Sources: etcd's "API guarantees" and "Data model" pages, and the comments of `rpc.proto` and `kv.proto`; codes
+and texts of errors as in `api/v3rpc/rpctypes/error.go`.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+from typing import Any
+
+import grpc
+from aetcd.rpc import kv_pb2, rpc_pb2
+
+Code = grpc.StatusCode
+
+
+class EtcdError(Exception):
+    """An error as etcd words it."""
+
+    def __init__(self, code: Any, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+        self.text = f"etcdserver: {text}"
+
+
+def compacted() -> EtcdError:
+    return EtcdError(Code.OUT_OF_RANGE, "mvcc: required revision has been compacted")
+
+
+class Lease:
+    def __init__(self, number: int, ttl: int, now: float) -> None:
+        self.number, self.ttl = number, ttl
+        self.until = now + ttl
+        self.keys: set[bytes] = set()
+
+
+class Store:
+    """Every change is one revision; of each key all versions since the last compaction are kept."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.compacted = 0
+        self.keys: list[bytes] = []  # that have any version, in order
+        self.versions: dict[bytes, list[Any]] = {}  # KeyValues; version 0: deleted
+        self.history: dict[int, list[Any]] = {}  # events by revision
+        self.leases: dict[int, Lease] = {}
+        self.last_lease = 7_587_848_390_000_000_000
+        self.pending: list[Any] = []  # events of the change under way
+
+    # Reading.
+
+    def within(self, key: bytes, end: bytes) -> Iterator[bytes]:
+        """Keys of a range: one, from `key` on where the end is a zero byte, or up to the end."""
+        at = bisect.bisect_left(self.keys, key)
+        if not end:
+            if at < len(self.keys) and self.keys[at] == key:
+                yield key
+            return
+        stop = len(self.keys) if end == b"\0" else bisect.bisect_left(self.keys, end)
+        yield from self.keys[at:stop]
+
+    def at(self, key: bytes, revision: int) -> Any | None:
+        """A key as it stood at a revision, None where it did not exist."""
+        for kv in reversed(self.versions.get(key, ())):
+            if kv.mod_revision <= revision:
+                return kv if kv.version else None
+        return None
+
+    def range(self, request: Any) -> Any:
+        """`KV.Range`, but for the response's header."""
+        revision = request.revision if request.revision > 0 else self.revision
+        if revision > self.revision:
+            raise EtcdError(Code.OUT_OF_RANGE, "mvcc: required revision is a future revision")
+        if revision < self.compacted:
+            raise compacted()
+        if not request.key:
+            raise EtcdError(Code.INVALID_ARGUMENT, "key is not provided")
+        found = [kv for key in self.within(request.key, request.range_end) if (kv := self.at(key, revision))]
+        for name, least, most in (
+            ("mod_revision", request.min_mod_revision, request.max_mod_revision),
+            ("create_revision", request.min_create_revision, request.max_create_revision),
+        ):
+            found = [kv for kv in found if getattr(kv, name) >= least]
+            found = [kv for kv in found if not most or getattr(kv, name) <= most]
+        answer = rpc_pb2.RangeResponse(count=len(found))
+        if request.count_only:
+            return answer
+        target = ("key", "version", "create_revision", "mod_revision", "value")[request.sort_target]
+        if request.sort_order or request.sort_target:
+            found.sort(key=lambda kv: getattr(kv, target), reverse=request.sort_order == 2)
+        if request.limit and len(found) > request.limit:
+            found, answer.more = found[: request.limit], True
+        for kv in found:
+            one = answer.kvs.add()
+            one.CopyFrom(kv)
+            if request.keys_only:
+                one.value = b""
+        return answer
+
+    # Writing: within `change`, so that a transaction is one revision.
+
+    def put(self, request: Any) -> Any:
+        if not request.key:
+            raise EtcdError(Code.INVALID_ARGUMENT, "key is not provided")
+        if request.lease and request.lease not in self.leases:
+            raise EtcdError(Code.NOT_FOUND, "requested lease not found")
+        old = self.at(request.key, self.revision + 1)
+        value, lease = request.value, request.lease
+        if request.ignore_value or request.ignore_lease:
+            if old is None:
+                raise EtcdError(Code.INVALID_ARGUMENT, "key not found")
+            value = old.value if request.ignore_value else value
+            lease = old.lease if request.ignore_lease else lease
+        kv = kv_pb2.KeyValue(
+            key=request.key,
+            create_revision=old.create_revision if old else self.revision + 1,
+            mod_revision=self.revision + 1,
+            version=old.version + 1 if old else 1,
+            value=value,
+            lease=lease,
+        )
+        self.record(kv, old, deleted=False)
+        answer = rpc_pb2.PutResponse()
+        if request.prev_kv and old is not None:
+            answer.prev_kv.CopyFrom(old)
+        return answer
+
+    def delete(self, request: Any) -> Any:
+        if not request.key:
+            raise EtcdError(Code.INVALID_ARGUMENT, "key is not provided")
+        answer = rpc_pb2.DeleteRangeResponse()
+        for key in list(self.within(request.key, request.range_end)):
+            old = self.at(key, self.revision + 1)
+            if old is None:
+                continue
+            self.record(kv_pb2.KeyValue(key=key, mod_revision=self.revision + 1), old, deleted=True)
+            answer.deleted += 1
+            if request.prev_kv:
+                answer.prev_kvs.add().CopyFrom(old)
+        return answer
+
+    def record(self, kv: Any, old: Any | None, deleted: bool) -> None:
+        if any(event.kv.key == kv.key for event in self.pending):
+            raise EtcdError(Code.INVALID_ARGUMENT, "duplicate key given in txn request")
+        event = kv_pb2.Event(type=kv_pb2.Event.DELETE if deleted else kv_pb2.Event.PUT, kv=kv)
+        if old is not None:
+            event.prev_kv.CopyFrom(old)
+            if old.lease in self.leases:
+                self.leases[old.lease].keys.discard(kv.key)
+        if kv.lease:
+            self.leases[kv.lease].keys.add(kv.key)
+        if kv.key not in self.versions:
+            bisect.insort(self.keys, kv.key)
+            self.versions[kv.key] = []
+        self.versions[kv.key].append(kv)
+        self.pending.append(event)
+
+    def change(self, operation: Any, request: Any) -> Any:
+        """Carry out a write as one revision, whole or not at all."""
+        self.pending = []
+        try:
+            answer = operation(request)
+        except EtcdError:
+            for event in self.pending:
+                self.versions[event.kv.key].pop()
+            self.pending = []
+            raise
+        if self.pending:
+            self.revision += 1
+            self.history[self.revision] = self.pending
+        self.pending = []
+        return answer
+
+    def txn(self, request: Any) -> Any:
+        answer = rpc_pb2.TxnResponse(succeeded=all(self.holds(compare) for compare in request.compare))
+        operations = {
+            "request_range": (self.range, "response_range"),
+            "request_put": (self.put, "response_put"),
+            "request_delete_range": (self.delete, "response_delete_range"),
+            "request_txn": (self.txn, "response_txn"),
+        }
+        for op in request.success if answer.succeeded else request.failure:
+            name = op.WhichOneof("request")
+            if name is None:
+                raise EtcdError(Code.INVALID_ARGUMENT, "key not found")
+            operation, field = operations[name]
+            getattr(answer.responses.add(), field).CopyFrom(operation(getattr(op, name)))
+        return answer
+
+    def holds(self, compare: Any) -> bool:
+        target = ("version", "create_revision", "mod_revision", "value", "lease")[compare.target]
+        wanted = getattr(compare, target)
+        keys = list(self.within(compare.key, compare.range_end)) or [compare.key]
+        for key in keys:
+            kv = self.at(key, self.revision) or kv_pb2.KeyValue()
+            if compare.target == rpc_pb2.Compare.VALUE and not kv.version:
+                return False
+            real = getattr(kv, target)
+            if not (real == wanted, real > wanted, real < wanted, real != wanted)[compare.result]:
+                return False
+        return True
+
+    def compact(self, revision: int) -> None:
+        if revision <= self.compacted:
+            raise compacted()
+        if revision > self.revision:
+            raise EtcdError(Code.OUT_OF_RANGE, "mvcc: required revision is a future revision")
+        self.compacted = revision
+        for old in [number for number in self.history if number < revision]:
+            del self.history[old]
+        for key in list(self.keys):
+            kept = self.versions[key]
+            first = max((i for i, kv in enumerate(kept) if kv.mod_revision <= revision), default=0)
+            self.versions[key] = kept = kept[first:]
+            if len(kept) == 1 and not kept[0].version:
+                del self.versions[key]
+                self.keys.remove(key)
+
+    # Leases.
+
+    def grant(self, number: int, ttl: int, now: float) -> Lease:
+        if number in self.leases:
+            raise EtcdError(Code.FAILED_PRECONDITION, "lease already exists")
+        if not number:
+            self.last_lease += 1
+            number = self.last_lease
+        lease = self.leases[number] = Lease(number, max(ttl, 1), now)
+        return lease
+
+    def lease(self, number: int) -> Lease:
+        if number not in self.leases:
+            raise EtcdError(Code.NOT_FOUND, "requested lease not found")
+        return self.leases[number]
+
+    def revoke(self, number: int) -> None:
+        """The lease and its keys go, in one revision."""
+        keys = sorted(self.lease(number).keys)
+
+        def remove(_: Any) -> None:
+            for key in keys:
+                self.delete(rpc_pb2.DeleteRangeRequest(key=key))
+
+        self.change(remove, None)
+        del self.leases[number]
+
+    def expire(self, now: float) -> None:
+        for number in [lease.number for lease in self.leases.values() if lease.until <= now]:
+            self.revoke(number)
--- /dev/null
+++ b/tests/policy/test_fleet.py
@@ -0,0 +1,180 @@
+"""What the policy keeps of the ready servers equals a whole look at them, after every list and upkeep."""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonhall.fleet import BLOCK, Ring, Sizes
+from cottonhall.interface import (
+    Effect,
+    ListKind,
+    Outcome,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+    Timer,
+)
+from cottonhall.rules import FEW, MASK, NODES, RING_POINTS, SPARSE, Policy, mix
+
+CLASSES = (
+    RequestClass(400.0, 1000.0, 1.0, Effect.SAFE),
+    RequestClass(400.0, 1000.0, 8.0, Effect.KEYED, window=6000.0),
+)
+
+
+class WholeLook:
+    """The fleet as one look at all of it measures it: what the policy did for each changed line before."""
+
+    def __init__(self, policy: Policy, strongest: float) -> None:
+        settings, servers = policy.settings, policy.servers
+        self.ready = sorted((i for i, s in servers.items() if s.entry.state is State.READY), key=mix)
+        ready = [servers[i] for i in self.ready]
+        sparse = policy.need < SPARSE * len(ready)
+        groups = max(1, min(settings.group_size // NODES, len(ready) // FEW)) if sparse else 1
+        group = settings.me * groups // settings.group_size
+        self.start = group * len(ready) // groups
+        self.span = max(1, (group + 1) * len(ready) // groups - self.start)
+        self.ours = self.ready[self.start : self.start + self.span]
+        self.warm = max(sum(map(policy.cold_share, ready)), 1.0)
+
+        def strength(server: Any, strongest: float) -> float:
+            return float(server.entry.size / policy.kinds.get(server.entry.kind, 1.0) / strongest)
+
+        self.strongest = strongest * (max((strength(s, strongest) for s in ready), default=1.0) or 1.0)
+        size = sum(s.entry.size for s in ready) / max(1, len(ready))
+        self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / settings.group_size
+        self.mean_strength = sum(strength(s, self.strongest) for s in ready) / max(1, len(ready))
+        counts = {i: int(RING_POINTS * strength(servers[i], self.strongest)) + 1 for i in self.ours}
+        self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(counts[i]))
+
+    def place(self, key: int, number: int) -> int:
+        spot = bisect(self.ring, (mix(key + number * 0x632BE59BD9B4E019 & MASK), 0))
+        return self.ring[spot % len(self.ring)][1]
+
+
+class Measured(Policy):
+    """A policy whose every measure of the fleet is held against a whole look."""
+
+    looks = 0
+
+    def measure_fleet(self) -> None:
+        before = self.strongest
+        super().measure_fleet()
+        whole = WholeLook(self, before)
+        assert (self.ready, self.start, self.span, self.ours) == (
+            whole.ready,
+            whole.start,
+            whole.span,
+            whole.ours,
+        )
+        for name in ("warm", "strongest", "sized", "mean_strength"):
+            assert getattr(self, name) == pytest.approx(getattr(whole, name), rel=1e-12), name
+        while self.unplaced:
+            self.place_points(1 << 30)
+        assert self.ring.points() == whole.ring
+        assert self.points.keys() == set(self.ours)
+        if self.ours:
+            assert all(self.place(key, 0) == whole.place(key, 0) for key in range(1, 40))
+        Measured.looks += 1
+
+
+def test_every_measure_equals_a_whole_look_through_random_days() -> None:
+    for seed in range(60):
+        rng = random.Random(seed)
+        nodes = rng.choice((1, 3, 30))
+        policy = Measured(
+            Settings(
+                classes=CLASSES, group_size=nodes, me=rng.randrange(nodes), warm_keys=True, max_attempts=3,
+                cold_from=0.3, ramp_time=3000.0,
+            ),
+            seed,
+        )  # fmt: skip
+        now, number, out = 50_000.0, 0, []
+        fleet: dict[int, ServerEntry] = {}
+        for _ in range(120):
+            now += rng.choice((0.0, 10.0, 400.0, 6000.0))
+            if rng.random() < 0.4:
+                changed = {}
+                for _ in range(rng.choice((1, 1, 3, 90))):
+                    server = rng.randrange(1, 200)
+                    state = rng.choice((State.READY, State.READY, State.READY, State.DRAINING, State.GONE))
+                    started = rng.choice((0.0, 0.0, now - 500.0))
+                    size = rng.choice((0.0, 1.0, 2.0, 3.0, rng.uniform(0.5, 9)))
+                    changed[server] = ServerEntry(server, server % 2, server % 3, 0, state, size, started)
+                kind = rng.choice(
+                    (ListKind.DELTA, ListKind.DELTA, ListKind.DELTA, ListKind.FULL, ListKind.CACHED)
+                )
+                policy.handle(now, ServerList(kind, 1, list(changed.values())))
+            else:
+                number += 1
+                cls = rng.randrange(2)
+                out += [
+                    (number, action.server, cls)
+                    for action in policy.handle(now, Request(number, cls, now + 900, rng.randrange(1, 50)))
+                    if isinstance(action, Send)
+                ]
+                if out and rng.random() < 0.8:
+                    asked, server, _ = out.pop(rng.randrange(len(out)))
+                    result = rng.choice((Result.OK, Result.OK, Result.OK, Result.ERROR, Result.TIMEOUT))
+                    policy.handle(now, Outcome(asked, server, True, result, 0, rng.uniform(5, 600)))
+        assert fleet == {}
+    assert Measured.looks > 2000
+
+
+def test_a_long_list_is_placed_in_slices_and_ends_the_same() -> None:
+    policy = Policy(Settings(classes=CLASSES, warm_keys=True), 1)
+    entries = [ServerEntry(i, 0, i % 2, 0, State.READY, 1.0 + i % 7, 0.0) for i in range(1, 2001)]
+    policy.handle(0.0, ServerList(ListKind.FULL, 1, entries))
+    assert policy.unplaced and policy.ring.blocks
+    # Requests are served from the part that is placed.
+    assert isinstance(policy.handle(1.0, Request(1, 0, 900.0, key=5))[-1], Send)
+    turns = 0
+    while policy.unplaced:
+        policy.handle(2.0, Timer(0))
+        turns += 1
+    assert turns > 10
+    assert policy.ring.points() == WholeLook(policy, policy.strongest).ring
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 300), st.integers(1, 5)), max_size=400), st.randoms())
+def test_a_ring_is_a_sorted_list_in_blocks(points: list[tuple[int, int]], rng: random.Random) -> None:
+    ring, plain = Ring(), sorted(set(points))
+    half = len(plain) // 2
+    shuffled = rng.sample(plain, len(plain))
+    ring.extend(shuffled[:half])
+    ring.extend(shuffled[half:])
+    for point in shuffled[::3]:
+        ring.remove(point)
+        plain.remove(point)
+    assert ring.points() == plain and len(ring) == len(plain)
+    assert all(0 < len(block) < 2 * BLOCK for block in ring.blocks)
+    if plain:
+        for spot in range(0, 310, 7):
+            assert ring.after(spot) == plain[bisect(plain, (spot, 0)) % len(plain)][1]
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.floats(0, 10), max_size=300), st.floats(0.1, 5), st.floats(0.1, 5))
+def test_sizes_tell_whose_level_moved(sizes: list[float], old: float, new: float) -> None:
+    kept, top = Sizes(), max([*sizes, 1.0])
+    kept.add([(size, number) for number, size in enumerate(sizes)])
+
+    def level(scale: float) -> Any:
+        return lambda size: int(RING_POINTS * (size / top * min(1.0, scale / 5)))
+
+    assert kept.moved((old, 1.0), level(old), RING_POINTS) == []
+    moved = set(kept.moved((new, 1.0), level(new), RING_POINTS))
+    assert moved >= {n for n, size in enumerate(sizes) if level(old)(size) != level(new)(size)} or old == new
+    assert kept.total == pytest.approx(sum(sizes)) and kept.largest == max(sizes, default=0.0)
--- a/tests/processors.py
+++ b/tests/processors.py
@@ -105,6 +105,7 @@
         http=None,
         processor=ProcessorSettings(listen=("127.0.0.1", 0), **changes),
         catalog=None,
+        etcd=None,
         servers=[entry(number) for number in range(1, servers + 1)],
     )
     site = Site(what, asyncio.get_running_loop())
