Serve GraphQL over HTTP: operations become parts, each a request to the core

The operator's file maps root fields to classes and is checked against the schema. The stand-in dispatch servers answer GraphQL, ./demo has a GraphQL front.

--- /dev/null
+++ b/badgercart/fronts/graphql/front.py
@@ -0,0 +1,284 @@
+"""The GraphQL front on the join: HTTP in, parts out over connections of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from graphql import FragmentDefinitionNode, OperationDefinitionNode, execute_sync, parse, print_ast
+
+from badgercart.carriers.pool.pool import Message, ServerPool
+from badgercart.config import Config
+from badgercart.core.clock import now_ms
+from badgercart.core.join import Join
+from badgercart.core.names import stable_id
+from badgercart.core.ports import Answer
+from badgercart.core.ports import Order as Attempt
+from badgercart.core.roster import Roster
+from badgercart.fronts.graphql.documents import Documents, Rejected
+from badgercart.fronts.graphql.execution import Execution, Order, PartCall
+from badgercart.fronts.graphql.mapping import read_schema
+from badgercart.fronts.graphql.merge import Outcome
+from badgercart.fronts.graphql.outcomes import read_reply
+from badgercart.fronts.graphql.planner import Plan, Planner
+from badgercart.fronts.graphql.requests import (
+    RESPONSE_JSON,
+    Asked,
+    HttpError,
+    error,
+    media_type,
+    read_get,
+    read_post,
+    status_of,
+)
+from badgercart.fronts.graphql.settings import GraphqlSettings
+from badgercart.fronts.http.clients import BadRequest, ClientConnection, ClientRequest, Headers, Listener
+from badgercart.fronts.http.front import ACCEPT_FOR, DRAIN_LOOK, MARGIN, SPARE_SOCKETS
+from cottonhall.interface import Effect, Result
+
+MAX_KEY = 256  # bytes of a client's idempotency key
+
+log = logging.getLogger("badgercart")
+
+
+@dataclass(slots=True)
+class GraphqlRequest(ClientRequest):
+    """A request as HTTP has it; what it asks is read when its turn comes."""
+
+    method: str
+    target: str
+    content_type: str | None
+    accept: str | None
+    client_key: str
+
+
+class GraphqlCarrier:
+    """The server pool, with replies read as GraphQL: an error inside a 200 is what it is."""
+
+    def __init__(self, join: Join) -> None:
+        self.join = join
+        self.calls: dict[tuple[int, int], PartCall] = {}
+        self.pool: ServerPool
+
+    def send(self, order: Attempt) -> None:
+        call: PartCall = order.work
+        self.calls[order.request_id, order.number] = call
+        self.pool.send(
+            Attempt(order.request_id, order.number, order.server_id, order.limit, call.order.message)
+        )
+
+    def cancel(self, request_id: int, number: int) -> None:
+        self.pool.cancel(request_id, number)
+
+    def ended(
+        self,
+        request_id: int,
+        number: int,
+        server_id: int,
+        result: Result,
+        elapsed: float,
+        answer: Answer | None,
+    ) -> None:
+        call = self.calls.pop((request_id, number), None)
+        if answer is None or call is None:
+            self.join.ended(request_id, number, server_id, result, elapsed)
+            return
+        reply = read_reply(answer.status, result is Result.FULL, answer.body, call.keys)
+        if reply.data is not None or reply.final or call.reply is None:
+            call.reply = reply
+        # To the join: served, the request's own fault, or neither.
+        status = 200 if reply.result is Result.OK else 400 if reply.final else 500
+        self.join.ended(request_id, number, server_id, reply.result, elapsed, Answer(status))
+
+
+class GraphqlFront:
+    """A listener for GraphQL clients and the connections to GraphQL dispatch servers."""
+
+    def __init__(
+        self,
+        config: Config,
+        settings: GraphqlSettings,
+        join: Join,
+        roster: Roster,
+        loop: asyncio.AbstractEventLoop,
+        share: float = 1.0,  # of the descriptors
+    ) -> None:
+        self.config, self.settings, self.join, self.roster = config, settings, join, roster
+        with open(settings.schema, encoding="utf-8") as file:
+            self.schema = read_schema(file.read())
+        allowed = None
+        if settings.allow_list is not None:
+            with open(settings.allow_list, encoding="utf-8") as file:
+                allowed = json.load(file)
+        self.planner = Planner(self.schema, settings.fields)
+        self.documents = Documents(
+            self.schema, self.planner, settings.limits, settings.cache, settings.introspection, allowed
+        )
+        self.classes = {name.decode(): number for name, number in config.classes.items()}
+        self.effects = [cls.effect for cls in config.settings.classes]
+        self.deadline = max(cls.deadline for cls in config.settings.classes)
+        self.stopping = False
+        self.pages: dict[bytes, Callable[[], bytes]] = {}
+        self.last = 0
+        self.open: dict[int, Execution] = {}
+        room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
+        self.carrier = GraphqlCarrier(join)
+        self.pool = self.carrier.pool = ServerPool(
+            loop, config.dial_timeout, config.idle_timeout, room * 3 // 8, self.carrier.ended
+        )
+        roster.on_change.append(self.pool.update)
+        self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read)
+
+    @property
+    def healthy(self) -> bool:
+        return self.roster.told and not self.roster.suspended
+
+    # From the listener.
+
+    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
+        """What HTTP itself says of a request. The rest is read in its turn, and answered in words."""
+        if url.partition(b"?")[0] != self.settings.path.encode():
+            raise BadRequest(404)
+        if method not in (b"GET", b"POST"):
+            raise BadRequest(405, b"Allow: GET, POST\r\n")
+        tenant = self.config.tenants.get(headers.tenant or b"") if self.config.tenants else 0
+        if headers.bad or tenant is None or len(headers.key or b"") > MAX_KEY:
+            raise BadRequest(400)
+        more: dict[bytes, bytes] = {}
+        for line in headers.lines:
+            name, _, value = line.partition(b":")
+            if (lower := name.lower()) in (b"accept", b"content-type"):
+                more[lower] = more[lower] + b"," + value.strip() if lower in more else value.strip()
+        self.last += 1
+        accept, content_type = more.get(b"accept"), more.get(b"content-type")
+        return GraphqlRequest(
+            message=Message(b"", body),
+            name=headers.request_id or b"g-%d" % self.last,
+            cls=0,
+            tenant=tenant,
+            key=0,
+            sent=now_ms(),
+            timeout=headers.timeout if headers.timeout is not None else self.deadline,
+            hint=0.0,
+            repeat=headers.repeat,
+            method=method.decode(),
+            target=url.decode("latin-1"),
+            content_type=content_type.decode("latin-1") if content_type is not None else None,
+            accept=accept.decode("latin-1") if accept is not None else None,
+            client_key=(headers.key or b"").decode("latin-1"),
+        )
+
+    def take(self, client: ClientConnection, request: ClientRequest) -> None:
+        assert isinstance(request, GraphqlRequest)
+        media = RESPONSE_JSON
+        try:
+            media = media_type(request.accept)
+            asked = self.asked(request)
+            plan, operation, document = self.documents.plan(asked, request.client_key)
+            if asked.by_get and operation.operation.value != "query":
+                raise HttpError(405, "a mutation can't be sent by GET", "POST")
+            orders = self.orders(plan, request)
+        except HttpError as bad:
+            allow = f"Allow: {bad.allow}\r\n".encode() if bad.allow else b""
+            told = {"errors": [error(str(bad), "BAD_REQUEST")]}
+            client.answer(bad.status, json.dumps(told).encode(), media.encode(), allow)
+            return
+        except Rejected as rejected:
+            told = {"errors": rejected.errors}
+            client.answer(status_of(media, told), json.dumps(told).encode(), media.encode())
+            return
+        except Exception:
+            # One request must not take the node down with it.
+            log.warning("a GraphQL request could not be planned", exc_info=True)
+            client.answer(500)
+            return
+        client.request_id = number = self.join.number()
+
+        def on_end(told: dict[str, Any], wait: float | None) -> None:
+            self.open.pop(number, None)
+            status = status_of(media, told, refused=wait is not None)
+            after = b"Retry-After: %.3f\r\n" % (wait / 1000) if wait else b""
+            client.answer(status, json.dumps(told).encode(), media.encode(), after)
+
+        local = self.local(plan, operation, document, asked) if plan.local else None
+        execution = Execution(plan, orders, local, self.join, self.carrier, on_end)
+        self.open[number] = execution
+        execution.start()
+
+    def asked(self, request: GraphqlRequest) -> Asked:
+        if request.method == "GET":
+            if request.message.body:
+                raise HttpError(400, "a GET has no body")
+            return read_get(request.target)
+        return read_post(request.content_type, request.message.body)
+
+    def orders(self, plan: Plan, request: GraphqlRequest) -> list[Order]:
+        """The parts as requests to the core. Raises Rejected where one lacks its key."""
+        due = request.sent + request.timeout - MARGIN
+        return [
+            Order(
+                part=part,
+                message=self.message(plan, number, request),
+                cls=self.classes[part.cls],
+                tenant=request.tenant,
+                key=stable_id(part.affinity.encode()) if part.affinity else 0,
+                due=due,
+            )
+            for number, part in enumerate(plan.parts)
+        ]
+
+    def message(self, plan: Plan, number: int, request: GraphqlRequest) -> Message:
+        part = plan.parts[number]
+        lines = [
+            f"POST {self.settings.path} HTTP/1.1\r\nHost: backend.local\r\n".encode(),
+            b"Content-Type: application/json\r\n",
+            b"Accept: application/graphql-response+json, application/json\r\n",
+            b"Request-Id: %b.%d\r\n" % (request.name, number),
+        ]
+        if self.effects[self.classes[part.cls]] is Effect.KEYED:
+            if not part.key:
+                words = f"{part.roots[0].response_key} needs an idempotency key"
+                raise Rejected([error(words, "BAD_USER_INPUT")])
+            lines.append(f"Idempotency-Key: {part.key}\r\n".encode())
+        for name, tenant in self.config.tenants.items():
+            if tenant == request.tenant:
+                lines.append(b"Tenant: %b\r\n" % name)
+        body = json.dumps({"query": part.document, "variables": part.variables}).encode()
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+        return Message(b"".join(lines), body)
+
+    def local(self, plan: Plan, operation: OperationDefinitionNode, document: Any, asked: Asked) -> Outcome:
+        """`__typename` and introspection: they concern no server."""
+        fragments = {d.name.value: d for d in document.definitions if isinstance(d, FragmentDefinitionNode)}
+        part, needed = self.planner.document(operation, plan.local, fragments)
+        variables = {name: asked.variables[name] for name in needed if name in asked.variables}
+        done = execute_sync(self.schema, parse(print_ast(part)), variable_values=variables)
+        return Outcome(plan.local, None, done.data, [dict(e.formatted) for e in done.errors or ()])
+
+    def withdraw(self, request_id: int) -> None:
+        if (execution := self.open.pop(request_id, None)) is not None:
+            execution.withdraw()
+
+    # Start and stop.
+
+    def start(self) -> None:
+        self.listener.start()
+        log.info("GraphQL listens on %s:%d%s", *self.listener.address, self.settings.path)
+
+    async def drain(self) -> None:
+        """Take what still comes and answer all that is held."""
+        self.stopping = True
+        self.listener.close_idle()
+        await asyncio.sleep(ACCEPT_FOR)
+        self.listener.stop()
+        end = now_ms() + self.deadline
+        while self.listener.connections and now_ms() < end:
+            self.listener.close_idle()
+            await asyncio.sleep(DRAIN_LOOK)
+
+    def close(self) -> None:
+        self.listener.close()
--- a/badgercart/fronts/graphql/settings.py
+++ b/badgercart/fronts/graphql/settings.py
@@ -33,6 +33,7 @@
     listen: tuple[str, int]
     schema: str  # the file with the schema's definition (SDL)
     path: str = "/graphql"
+    allow_list: str | None = None  # a JSON file, documents by their SHA-256: with it nothing else is taken
     introspection: bool = True
     cache: int = 4 << 20  # bytes of documents whose plans are kept
     limits: Limits = field(default_factory=Limits)
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -16,7 +16,7 @@
 import httptools
 
 from badgercart.carriers.pool.pool import MAX_BODY, MAX_HEAD, Message
-from badgercart.config import Config
+from badgercart.config import Address, Config
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer
 from badgercart.core.requests import BadDescription, Classifier
@@ -103,10 +103,17 @@
 class Listener:
     """All connections of clients. Each that waits for its client is in one of the waits."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, handler: Handler, limit: int) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        handler: Handler,
+        limit: int,
+        read: Read,
+    ) -> None:
         self.loop = loop
-        self.config = config
-        self.classifier = Classifier(config)
+        self.listen = address
+        self.read = read
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()  # also those that are about to close
@@ -122,7 +129,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        host, port = self.config.listen
+        host, port = self.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.socket = socket.create_server((host, port), family=family, backlog=1024)
         self.socket.setblocking(False)
@@ -300,6 +307,40 @@
             self.lines.append(b"%b: %b\r\n" % (name, value))
 
 
+# Method, target, headers and body of a whole request into what is taken; BadRequest where it can't be.
+Read = Callable[[bytes, bytes, Headers, bytes], ClientRequest]
+
+
+def platform_requests(config: Config) -> Read:
+    """Reads requests of the platform's protocol."""
+    classifier = Classifier(config)
+
+    def read(method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
+        if headers.bad or headers.timeout is None or (body and method == b"GET"):
+            raise BadRequest(400)
+        try:
+            found = classifier.read(method, url, headers.request_id, headers.tenant, headers.key)
+        except BadDescription as error:
+            allow = b"Allow: %b\r\n" % error.allow if error.allow else b""
+            raise BadRequest(error.status, allow) from None
+        if method == b"POST":
+            headers.lines.append(b"Content-Length: %d\r\n" % len(body))
+        head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
+        return ClientRequest(
+            message=Message(head, body),
+            name=found.name,
+            cls=found.cls,
+            tenant=found.tenant,
+            key=found.key,
+            sent=now_ms(),
+            timeout=headers.timeout,
+            hint=headers.hint,
+            repeat=headers.repeat,
+        )
+
+    return read
+
+
 class ClientConnection(asyncio.Protocol):
     """One connection of a client. Requests on it are answered one after the other."""
 
@@ -474,30 +515,7 @@
             return Health()
         if (page := self.listener.handler.pages.get(url)) is not None:
             return Page(page)
-        method = self.parser.get_method()
-        if headers.bad or headers.timeout is None or (self.body and method == b"GET"):
-            raise BadRequest(400)
-        try:
-            found = self.listener.classifier.read(
-                method, url, headers.request_id, headers.tenant, headers.key
-            )
-        except BadDescription as error:
-            allow = b"Allow: %b\r\n" % error.allow if error.allow else b""
-            raise BadRequest(error.status, allow) from None
-        if method == b"POST":
-            headers.lines.append(b"Content-Length: %d\r\n" % len(self.body))
-        head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
-        return ClientRequest(
-            message=Message(head, bytes(self.body)),
-            name=found.name,
-            cls=found.cls,
-            tenant=found.tenant,
-            key=found.key,
-            sent=now_ms(),
-            timeout=headers.timeout,
-            hint=headers.hint,
-            repeat=headers.repeat,
-        )
+        return self.listener.read(self.parser.get_method(), url, headers, bytes(self.body))
 
     def next(self) -> None:
         """Begin with the next request that has come in whole."""
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -12,7 +12,7 @@
 from badgercart.core.join import Join
 from badgercart.core.ports import Intake
 from badgercart.core.roster import Roster
-from badgercart.fronts.http.clients import ClientConnection, ClientRequest, Listener
+from badgercart.fronts.http.clients import ClientConnection, ClientRequest, Listener, platform_requests
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
@@ -25,17 +25,24 @@
 class HttpFront:
     """A listener for HTTP clients and the connections to the servers, within one limit of descriptors."""
 
-    def __init__(self, config: Config, join: Join, roster: Roster, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        config: Config,
+        join: Join,
+        roster: Roster,
+        loop: asyncio.AbstractEventLoop,
+        share: float = 1.0,  # of the descriptors
+    ) -> None:
         self.config = config
         self.join = join
         self.roster = roster
         self.stopping = False
         # A request in flight holds one on either side, but clients also keep what they have opened.
-        room = max(config.sockets - SPARE_SOCKETS, 30)
+        room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
         servers = room * 3 // 8
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, join.ended)
         roster.on_change.append(self.pool.update)
-        self.listener = Listener(loop, config, self, room - servers)
+        self.listener = Listener(loop, config.listen, self, room - servers, platform_requests(config))
         self.pages: dict[bytes, Callable[[], bytes]] = {}  # what operators may ask of the listener, by path
 
     @property
--- a/badgercart/operator/file.py
+++ b/badgercart/operator/file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import secrets
 import tomllib
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from typing import Any
 
 from badgercart.config import Address, Config
+from badgercart.fronts.graphql.settings import FieldMap, GraphqlSettings, Limits
 from badgercart.fronts.processor.settings import HeaderNames, OldAnswers, ProcessorSettings, Tls
 from badgercart.membership.etcd.settings import EtcdSettings, EtcdTls
 from badgercart.operator.locate import lines_of
@@ -233,6 +235,48 @@
     },
     optional=True,
 )
+_G, _L = GraphqlSettings(("", 0), ""), Limits()
+_GRAPHQL = Table(
+    "a listener for GraphQL clients, in front of GraphQL dispatch servers",
+    {
+        "listen": Setting(address, REQUIRED, "the host:port to listen on"),
+        "schema": Setting(text, REQUIRED, "the file with the schema's definition"),
+        "path": Setting(text, _G.path, "the path of requests, here and at the servers"),
+        "allow_list": Setting(maybe(text), None, "a JSON file of the only documents taken, by their SHA-256"),
+        "introspection": Setting(flag, _G.introspection, "whether clients may read the schema"),
+        "cache_bytes": Setting(whole(0, 1 << 30), _G.cache, "what documents and plans may hold (bytes)"),
+    },
+    {
+        "limits": Table(
+            "what a document may cost",
+            {
+                name: Setting(whole(1, 1 << 20), getattr(_L, name), about)
+                for name, about in {
+                    "document": "its size (bytes)",
+                    "tokens": "its tokens",
+                    "depth": "levels of selections",
+                    "aliases": "aliases of one operation",
+                    "root_fields": "root fields of one operation",
+                    "directives": "directives of one operation",
+                    "fields": "fields of one operation",
+                    "variables": "the size of the variables (bytes)",
+                }.items()
+            },
+        ),
+        "field": Table(
+            "a root field",
+            {
+                "name": Setting(text, REQUIRED, "Query.name or Mutation.name"),
+                "class": Setting(text, REQUIRED, "the class of its requests"),
+                "affinity": Setting(maybe(text), None, "the argument that says what it is about"),
+                "key": Setting(maybe(text), None, "the argument that holds its idempotency key"),
+            },
+            many=True,
+            needed=True,
+        ),
+    },
+    optional=True,
+)
 FILE = Table(
     "an operator's file",
     tables={
@@ -242,7 +286,7 @@
         "class": _CLASS,
         "tenant": _TENANT,
         "members": _MEMBERS,
-        "fronts": Table("who may ask", tables={"http": _HTTP, "processor": _PROCESSOR}),
+        "fronts": Table("who may ask", tables={"http": _HTTP, "processor": _PROCESSOR, "graphql": _GRAPHQL}),
     },
 )
 
@@ -255,6 +299,7 @@
     http: Address | None
     processor: ProcessorSettings | None
     catalog: Address | None
+    graphql: GraphqlSettings | None
     etcd: EtcdSettings | None
     servers: list[dict[str, Any]]  # lines of a server list, where it is written in the file
 
@@ -275,13 +320,13 @@
     checker = Checker(lines_of(written))
     values = checker.table(raw, FILE)
     if not checker.problems:
-        _cross_check(values, checker)
+        _cross_check(values, Path(path).parent, checker)
     if checker.problems:
         raise FileError(path, checker.problems)
-    return _build(values)
+    return _build(values, Path(path).parent)
 
 
-def _cross_check(values: dict[str, Any], checker: Checker) -> None:
+def _cross_check(values: dict[str, Any], folder: Path, checker: Checker) -> None:
     """What only several settings together can get wrong."""
     for table in ("class", "tenant"):
         seen: set[str] = set()
@@ -305,8 +350,10 @@
         int(node["seed"] or "0", 16)
     except ValueError:
         checker.blame(("node", "seed"), "is not hexadecimal")
-    if fronts["http"] is None and fronts["processor"] is None:
-        checker.blame(("fronts",), "nobody may ask: switch on fronts.http or fronts.processor")
+    if not any(fronts.values()):
+        checker.blame(("fronts",), f"nobody may ask: switch on one of {', '.join(fronts)}")
+    if fronts["graphql"] is not None:
+        _check_graphql(values, folder, checker)
     sources = [name for name in ("catalog", "server", "etcd") if members[name]]
     if len(sources) != 1:
         words = "one of catalog, [[members.server]] and [members.etcd]"
@@ -339,6 +386,50 @@
         checker.blame((*path, "tls", "cert"), "cert and key go together")
 
 
+def _check_graphql(values: dict[str, Any], folder: Path, checker: Checker) -> None:
+    """The map against the schema: its library is heavy, and needed only where this front is switched on."""
+    from badgercart.fronts.graphql.mapping import faults, read_schema
+
+    graphql, path = values["fronts"]["graphql"], ("fronts", "graphql")
+    if not graphql["path"].startswith("/"):
+        checker.blame((*path, "path"), "does not begin with a slash")
+    allow_list = graphql["allow_list"]
+    try:
+        if allow_list is not None and not isinstance(json.loads((folder / allow_list).read_bytes()), dict):
+            checker.blame((*path, "allow_list"), "holds no JSON object")
+    except (OSError, ValueError) as error:
+        checker.blame((*path, "allow_list"), f"can't be read: {error}")
+    try:
+        schema = read_schema((folder / graphql["schema"]).read_text())
+    except (OSError, ValueError) as error:
+        checker.blame((*path, "schema"), f"can't be used: {error}")
+        return
+    places = {item["name"]: at for at, item in enumerate(graphql["field"])}
+    if len(places) < len(graphql["field"]):
+        checker.blame((*path, "field"), "names a field twice")
+    effects = {cls["name"]: Effect(cls["effect"]) for cls in values["class"]}
+    for name, key, words in faults(schema, _fields(graphql), effects):
+        place: tuple[str | int, ...] = (*path, "field", places[name]) if name else (*path, "field")
+        checker.blame((*place, key) if key else place, words)
+
+
+def _fields(values: dict[str, Any]) -> dict[str, FieldMap]:
+    return {item["name"]: FieldMap(item["class"], item["affinity"], item["key"]) for item in values["field"]}
+
+
+def _graphql(values: dict[str, Any], folder: Path) -> GraphqlSettings:
+    return GraphqlSettings(
+        listen=values["listen"],
+        schema=str(folder / values["schema"]),
+        path=values["path"],
+        allow_list=str(folder / values["allow_list"]) if values["allow_list"] else None,
+        introspection=values["introspection"],
+        cache=values["cache_bytes"],
+        limits=Limits(**values["limits"]),
+        fields=_fields(values),
+    )
+
+
 def _etcd(values: dict[str, Any]) -> EtcdSettings:
     plain = (
         "endpoints",
@@ -358,7 +449,7 @@
     )
 
 
-def _build(values: dict[str, Any]) -> Installation:
+def _build(values: dict[str, Any], folder: Path) -> Installation:
     node, fleet, retry, fronts, members = (
         values[name] for name in ("node", "fleet", "retry", "fronts", "members")
     )
@@ -420,6 +511,7 @@
         config=config,
         http=fronts["http"]["listen"] if fronts["http"] else None,
         processor=_processor(fronts["processor"], fleet["drain_grace_ms"]) if fronts["processor"] else None,
+        graphql=_graphql(fronts["graphql"], folder) if fronts["graphql"] else None,
         catalog=members["catalog"],
         etcd=_etcd(members["etcd"]) if members["etcd"] else None,
         servers=servers,
--- a/badgercart/operator/run.py
+++ b/badgercart/operator/run.py
@@ -22,6 +22,7 @@
 from cottonhall.interface import State as ServerState
 
 if TYPE_CHECKING:
+    from badgercart.fronts.graphql.front import GraphqlFront
     from badgercart.fronts.processor.server import Processor
     from badgercart.membership.etcd.client import EtcdSource
 
@@ -39,7 +40,8 @@
         self.join = Join(config.settings, config.seed, loop)
         self.reader = ListReader(config)
         self.roster = Roster(self.reader, self.join)
-        self.http = HttpFront(config, self.join, self.roster, loop) if what.http else None
+        share = 0.5 if what.http and what.graphql else 1.0  # of the descriptors, for each
+        self.http = HttpFront(config, self.join, self.roster, loop, share) if what.http else None
         if self.http is not None:
             self.http.pages[b"/_members"] = self.members_page
         self.processor: Processor | None = None
@@ -47,6 +49,11 @@
             from badgercart.fronts.processor.server import Processor  # heavy: only where it is switched on
 
             self.processor = Processor(config, what.processor, self.join, self.roster, loop)
+        self.graphql: GraphqlFront | None = None
+        if what.graphql is not None:
+            from badgercart.fronts.graphql.front import GraphqlFront
+
+            self.graphql = GraphqlFront(config, what.graphql, self.join, self.roster, loop, share)
         self.etcd: EtcdSource | None = None
         if what.etcd is not None:
             from badgercart.membership.etcd.client import EtcdSource  # heavy too
@@ -105,6 +112,8 @@
         self.start_list()
         if self.http is not None:
             self.http.start()
+        if self.graphql is not None:
+            self.graphql.start()
         if self.processor is not None:
             await self.processor.start()
 
@@ -131,12 +140,14 @@
 
     async def drain(self) -> None:
         """Answer all that is held, on every front, then end."""
-        await asyncio.gather(*(front.drain() for front in (self.http, self.processor) if front is not None))
+        await asyncio.gather(
+            *(front.drain() for front in (self.http, self.graphql, self.processor) if front is not None)
+        )
         self.close()
         log.info("stopped")
 
     def close(self) -> None:
-        for part in (self.http, self.processor, self.discovery, self.etcd):
+        for part in (self.http, self.graphql, self.processor, self.discovery, self.etcd):
             if part is not None:
                 part.close()
 
--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -63,7 +63,7 @@
         file.write(operators_file("127.0.0.1:1", max_streams=20000, max_connection_streams=20000))
         file.flush()
         what = load(file.name)
-    return Installation(what.config, None, what.processor, None, None, entries(servers))
+    return Installation(what.config, None, what.processor, None, None, None, entries(servers))
 
 
 # The servers, each in a process of its own.
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -20,6 +20,7 @@
 
 from standins import http1
 from standins.fleet import Fleet, operators_file
+from standins.graphql import SCHEMA_FILE
 from standins.proxy import Proxy
 from standins.server import DispatchServer
 from standins.traffic import KINDS, Arrival, Result, arrivals, ask
@@ -30,13 +31,18 @@
 READY_WITHIN = 30.0  # s
 PAINT = 0.5  # s
 RECENT = 10.0  # s that the table looks back
-FRONTS = {"http": r" listens on ([\d.]+:\d+)$", "processor": r"the processor listens on ([\d.]+:\d+)"}
+FRONTS = {
+    "http": r"INFO demo listens on ([\d.]+:\d+)$",
+    "processor": r"the processor listens on ([\d.]+:\d+)",
+    "graphql": r"GraphQL listens on ([\d.]+:\d+)/",
+}
 
 
 class NodeProcess:
     """`python -m badgercart serve FILE`, and where its fronts listen."""
 
-    def __init__(self) -> None:
+    def __init__(self, wanted: tuple[str, ...] = ("http", "processor")) -> None:
+        self.wanted = set(wanted)
         self.lines: deque[str] = deque(maxlen=200)
         self.fronts: dict[str, str] = {}
         self.ready = asyncio.Event()
@@ -62,11 +68,9 @@
             self.lines.append(line)
             for name, pattern in FRONTS.items():
                 if match := re.search(pattern, line):
-                    if name == "http" and "processor listens" in line:
-                        continue
                     self.fronts[name] = match[1]
             listed = listed or " list " in line
-            if listed and self.fronts.keys() == FRONTS.keys():
+            if listed and self.fronts.keys() >= self.wanted:
                 self.ready.set()
 
     async def stop(self) -> int:
@@ -171,11 +175,11 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
-    fleet, node = await Fleet(SERVERS).start(), NodeProcess()
+    fleet, node = await Fleet(SERVERS).start(), NodeProcess(tuple(FRONTS))
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "demo.toml"
         etcd = await fleet.start_etcd()
-        path.write_text(operators_file("", etcd.address, later_attempts=True))
+        path.write_text(operators_file("", etcd.address, str(SCHEMA_FILE), later_attempts=True))
         try:
             await node.start(path)
         except RuntimeError as error:
@@ -183,7 +187,8 @@
             return 1
         if as_json:
             servers = [server.address for server in fleet.servers]
-            ready = {**node.fronts, "servers": servers, "etcd": etcd.address}
+            graphql = f"http://{node.fronts['graphql']}/graphql"
+            ready = {**node.fronts, "graphql": graphql, "servers": servers, "etcd": etcd.address}
             print(json.dumps(ready), flush=True)
             await until(stop, seconds)
         else:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -87,10 +87,10 @@
         await self.tell(server)
 
 
-def operators_file(catalog: str, etcd: str = "", **processor: Any) -> str:
+def operators_file(catalog: str, etcd: str = "", graphql: str = "", **processor: Any) -> str:
     """The text of a file that serves such a fleet on both fronts, on ports of the system's choice.
 
-    The list comes from etcd where that is given."""
+    The list comes from etcd where that is given; with the file of a schema there is a GraphQL front too."""
     lines = [
         '[node]\nname = "demo"\nzone = "angyalfold"\nseed = "7"',
         f'[fleet]\nzones = ["angyalfold"]\nkinds = ["{KINDS_OF_MACHINE[0]}", "{KINDS_OF_MACHINE[1]}"]',
@@ -111,4 +111,12 @@
         lines.append(f'[members]\ncatalog = "{catalog}"')
     lines.append('[fronts.http]\nlisten = "127.0.0.1:0"\n[fronts.processor]\nlisten = "127.0.0.1:0"')
     lines += [f"{name} = {str(value).lower()}" for name, value in processor.items()]
+    if graphql:
+        lines.append(f'[fronts.graphql]\nlisten = "127.0.0.1:0"\nschema = "{graphql}"')
+        for name, cls, affinity, key in (
+            ("Query.cabLookup", "cab-lookup", "pickup", ""),
+            ("Mutation.rideAssign", "ride-assign", "ride", 'key = "key"'),
+        ):
+            head = f'[[fronts.graphql.field]]\nname = "{name}"\nclass = "{cls}"'
+            lines.append(f'{head}\naffinity = "{affinity}"\n{key}')
     return "\n".join(lines) + "\n"
--- a/standins/server.py
+++ b/standins/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from collections import Counter, deque
@@ -108,7 +109,15 @@
             await asyncio.sleep(3600)
         if chance < self.silent + self.failing:
             return http1.answer(500)
-        low, high = self.work.get(request.start[1].split("/")[1], (1.0, 1.0))
+        by_graphql = request.start[1] == "/graphql"
+        if by_graphql:
+            from standins import graphql  # its library is heavy
+
+            fields = graphql.root_fields(json.loads(request.body).get("query", ""))
+            ranges = [self.work.get(graphql.WORK_OF.get(name, ""), (1.0, 1.0)) for name in fields]
+            low, high = (sum(ends) for ends in zip(*ranges, strict=True)) if ranges else (1.0, 1.0)
+        else:
+            low, high = self.work.get(request.start[1].split("/")[1], (1.0, 1.0))
         self.held += 1
         try:
             async with self.slots:
@@ -119,4 +128,7 @@
         if key and now - self.done.get(key, -self.window) >= self.window:
             self.done[key] = now
             self.effects[key] += 1
+        if by_graphql:
+            status, body = graphql.answer(self.name, request.body)
+            return http1.answer(status, {"content-type": "application/graphql-response+json"}, body)
         return http1.answer(200, {"content-type": "text/plain"}, f"{self.name} {name}\n".encode())
--- a/tests/etcd/test_faults.py
+++ b/tests/etcd/test_faults.py
@@ -150,7 +150,7 @@
         line = {"instanceId": name, "hostPort": "127.0.0.1:9", "lifecycle": "active"}
         await etcd.put(PREFIX + name, json.dumps(line))
     what = Installation(
-        config(1), None, None, None, etcd_settings(etcd, guard_share=0.0, stale_after=400.0, page=2), []
+        config(1), None, None, None, None, etcd_settings(etcd, guard_share=0.0, stale_after=400.0, page=2), []
     )
     site = Site(what, asyncio.get_running_loop())
     await site.start()
--- a/tests/etcd/test_following.py
+++ b/tests/etcd/test_following.py
@@ -83,7 +83,7 @@
 
 @asynccontextmanager
 async def following(*etcds: Etcd, **changes: Any) -> AsyncIterator[Following]:
-    what = Installation(config(1), ("127.0.0.1", 0), None, None, settings(*etcds, **changes), [])
+    what = Installation(config(1), ("127.0.0.1", 0), None, None, None, settings(*etcds, **changes), [])
     site = Site(what, asyncio.get_running_loop())
     await site.start()
     try:
--- a/tests/processors.py
+++ b/tests/processors.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import Any
 
+from badgercart.core.join import Join
 from badgercart.fronts.processor.settings import ProcessorSettings
 from badgercart.operator.file import Installation
 from badgercart.operator.run import Site
@@ -48,14 +49,11 @@
     return headers | {key.replace("_", "-"): value for key, value in more.items()}
 
 
-class Bench:
-    """A running site and every event that its policy was told."""
+class Recorder:
+    """Every event that the policy of a join is told."""
 
-    def __init__(self, site: Site) -> None:
-        assert site.processor is not None
-        self.site, self.join, self.processor = site, site.join, site.processor
-        self.calls = site.processor.calls
-        self.address = "{}:{}".format(*site.processor.address)
+    def __init__(self, join: Join) -> None:
+        self.join = join
         self.told: list[Event] = []
         self.changed = asyncio.Event()
         handle = self.join.policy.handle
@@ -79,6 +77,17 @@
                 await self.changed.wait()
         return found[count - 1]
 
+
+class Bench(Recorder):
+    """A running site with a processor."""
+
+    def __init__(self, site: Site) -> None:
+        super().__init__(site.join)
+        assert site.processor is not None
+        self.site, self.processor = site, site.processor
+        self.calls = site.processor.calls
+        self.address = "{}:{}".format(*site.processor.address)
+
     async def settled(self) -> None:
         """Nothing is held, out or open any more."""
         async with asyncio.timeout(WAIT):
@@ -104,6 +113,7 @@
         config=replace(base, settings=settings),
         http=None,
         processor=ProcessorSettings(listen=("127.0.0.1", 0), **changes),
+        graphql=None,
         catalog=None,
         etcd=None,
         servers=[entry(number) for number in range(1, servers + 1)],
