--- a/badgercart/fronts/graphql/documents.py
+++ b/badgercart/fronts/graphql/documents.py
@@ -8,19 +8,19 @@
 import json
 from collections import OrderedDict
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import sha256
 from typing import Any
 
 from graphql import DocumentNode, GraphQLError, GraphQLSchema, OperationDefinitionNode, validate
 
 from badgercart.fronts.graphql.limits import BadDocument, TooCostly, read_document
-from badgercart.fronts.graphql.planner import BadOperation, Plan, Planner, choose
+from badgercart.fronts.graphql.planner import BadOperation, Memo, Plan, Planner, choose
 from badgercart.fronts.graphql.requests import Asked, error
 from badgercart.fronts.graphql.settings import Limits
 
 MAX_ERRORS = 10  # of validation that are told
-PLAN_COST = 8  # times a document's text: about what its tree and its plan hold
+PLAN_COST = 40  # times a document's text: about what its tree and its plans hold
 _MISSING = object()
 
 
@@ -64,6 +64,7 @@
 
     document: DocumentNode | None
     errors: list[dict[str, Any]]
+    memos: dict[str | None, Memo] = field(default_factory=dict)  # by the operation's name
 
 
 class Documents:
@@ -81,29 +82,26 @@
         self.schema, self.planner, self.limits = schema, planner, limits
         self.introspection = introspection
         self.allowed = allowed
-        self.documents = Cache(cache // 2)
-        self.plans = Cache(cache // 4)
+        self.documents = Cache(cache * 3 // 4)
         self.persisted = Cache(cache // 4)
 
     def plan(self, asked: Asked, client_key: str) -> tuple[Plan, OperationDefinitionNode, DocumentNode]:
         """Raises Rejected."""
         text = self.text(asked)
-        document = self.sound(text)
+        known = self.sound(text)
+        document = known.document
+        assert document is not None
         try:
             operation = choose(document, asked.operation)
         except BadOperation as bad:
             raise Rejected([formatted(e, "OPERATION_RESOLUTION_FAILURE") for e in bad.errors]) from None
-        variables = json.dumps(asked.variables, sort_keys=True)
-        if len(variables) > self.limits.variables:
+        if len(json.dumps(asked.variables)) > self.limits.variables:
             raise Rejected([error(f"the variables are over {self.limits.variables} bytes", "LIMIT_EXCEEDED")])
-        key = sha256(f"{text}\0{asked.operation}\0{variables}\0{client_key}".encode()).digest()
-        plan = self.plans.get(key)
-        if plan is _MISSING:
-            try:
-                plan = self.planner.plan(document, operation, asked.variables, client_key)
-            except BadOperation as bad:
-                raise Rejected([formatted(e, "BAD_USER_INPUT") for e in bad.errors[:MAX_ERRORS]]) from None
-            self.plans.put(key, PLAN_COST * len(text) + len(variables), plan)
+        memo = known.memos.setdefault(asked.operation, Memo())
+        try:
+            plan = self.planner.plan(document, operation, asked.variables, client_key, memo)
+        except BadOperation as bad:
+            raise Rejected([formatted(e, "BAD_USER_INPUT") for e in bad.errors[:MAX_ERRORS]]) from None
         if not self.introspection and any(root.name != "__typename" for root in plan.local):
             raise Rejected([error("introspection is switched off", "INTROSPECTION_DISABLED")])
         return plan, operation, document
@@ -135,16 +133,16 @@
         self.persisted.put(digest, len(text) + 100, text)
         return text
 
-    def sound(self, text: str) -> DocumentNode:
+    def sound(self, text: str) -> Known:
         """Parsed and validated, now or before."""
         known = self.documents.get(text)
         if known is _MISSING:
             known = self.look(text)
             self.documents.put(text, PLAN_COST * len(text) + 100, known)
-        if known.document is None:
-            raise Rejected(known.errors)
-        document: DocumentNode = known.document
-        return document
+        found: Known = known
+        if found.document is None:
+            raise Rejected(found.errors)
+        return found
 
     def look(self, text: str) -> Known:
         try:
--- a/badgercart/fronts/graphql/planner.py
+++ b/badgercart/fronts/graphql/planner.py
@@ -119,6 +119,20 @@
     return operations[0]
 
 
+MAX_MEMO = 64  # of each kind that one operation's memo holds
+
+
+@dataclass(slots=True)
+class Memo:
+    """What planning found of one operation of one document, so that it need not be found again.
+
+    Only what the variables decide is looked at for each request."""
+
+    chosen_by: tuple[str, ...] | None = None  # variables that @skip and @include at the root depend on
+    roots: dict[tuple[Any, ...], list[Root]] = field(default_factory=dict)  # by the values of these
+    documents: dict[tuple[Any, ...], tuple[DocumentNode, str, list[str]]] = field(default_factory=dict)
+
+
 class Planner:
     """Plans operations against one schema and one map of its root fields."""
 
@@ -132,6 +146,7 @@
         operation: OperationDefinitionNode,
         variables: Mapping[str, Any],
         client_key: str = "",
+        memo: Memo | None = None,
     ) -> Plan:
         """A valid document's operation. `client_key` is the request's own idempotency key, if it has one.
 
@@ -144,10 +159,18 @@
         root_type = self.schema.get_root_type(operation.operation)
         assert root_type is not None  # the document is valid
         fragments = {d.name.value: d for d in document.definitions if isinstance(d, FragmentDefinitionNode)}
-        try:
-            roots = self.collect(operation, root_type, fragments, values)
-        except GraphQLError as error:
-            raise BadOperation([error]) from None
+        memo = memo or Memo()
+        if memo.chosen_by is None:
+            memo.chosen_by = self.chosen_by(operation, fragments)
+        decided = tuple(values.coerced.get(name) for name in memo.chosen_by)
+        roots = memo.roots.get(decided)
+        if roots is None:
+            try:
+                roots = self.collect(operation, root_type, fragments, values)
+            except GraphQLError as error:
+                raise BadOperation([error]) from None
+            if len(memo.roots) < MAX_MEMO:
+                memo.roots[decided] = roots
         serial = operation.operation is OperationType.MUTATION
         plan = Plan(serial, roots, [])
         groups: dict[tuple[Any, ...], list[Root]] = {}
@@ -171,11 +194,38 @@
             mapped, affinity, own = keys[group]
             given = own or client_key
             key = derived_key(given, members[0].response_key) if serial and given else ""
-            source, needed = self.document(operation, members, fragments)
+            which = (*decided, *(member.response_key for member in members))
+            known = memo.documents.get(which)
+            if known is None:
+                source, needed = self.document(operation, members, fragments)
+                known = source, print_ast(source), needed
+                if len(memo.documents) < MAX_MEMO:
+                    memo.documents[which] = known
+            source, text, needed = known
             sent = {name: variables[name] for name in needed if name in variables}
-            plan.parts.append(Part(mapped.cls, members, affinity, key, print_ast(source), sent, source))
+            plan.parts.append(Part(mapped.cls, members, affinity, key, text, sent, source))
         return plan
 
+    def chosen_by(
+        self, operation: OperationDefinitionNode, fragments: dict[str, FragmentDefinitionNode]
+    ) -> tuple[str, ...]:
+        """The variables that @skip and @include at the root depend on, through fragments."""
+        found: dict[str, None] = {}
+        spread: set[str] = set()
+        waiting: list[SelectionNode] = list(operation.selection_set.selections)
+        while waiting:
+            node = waiting.pop()
+            for directive in node.directives or ():
+                uses = Uses()
+                visit(directive, uses)
+                found |= uses.variables
+            if isinstance(node, InlineFragmentNode):
+                waiting += node.selection_set.selections
+            elif isinstance(node, FragmentSpreadNode) and node.name.value not in spread:
+                spread.add(node.name.value)
+                waiting += fragments[node.name.value].selection_set.selections
+        return tuple(found)
+
     def collect(
         self,
         operation: OperationDefinitionNode,
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -5,8 +5,9 @@
 import asyncio
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
+from typing import Any
 
 from standins import http1
 
@@ -113,7 +114,10 @@
     return Result(arrival, status, (time.monotonic() - began) * 1000, wait)
 
 
-async def play(address: str, coming: list[Arrival]) -> list[Result]:
+Ask = Callable[[str, Arrival, http1.Connections], Coroutine[Any, Any, Result]]
+
+
+async def play(address: str, coming: list[Arrival], ask: Ask = ask) -> list[Result]:
     """Send all arrivals at their times, whatever came of those before."""
     connections, start = http1.Connections(), time.monotonic()
     asking: list[asyncio.Task[Result]] = []
--- a/tests/graphql/test_planner.py
+++ b/tests/graphql/test_planner.py
@@ -21,7 +21,7 @@
 )
 
 from badgercart.fronts.graphql.merge import Outcome, response
-from badgercart.fronts.graphql.planner import BadOperation, Plan, Planner, choose
+from badgercart.fronts.graphql.planner import BadOperation, Memo, Plan, Planner, choose
 from badgercart.fronts.graphql.settings import FieldMap
 
 RUNS = int(os.environ.get("BADGERCART_RUNS", "0"))
@@ -165,7 +165,9 @@
     document = parse(text)
     operation = choose(document, None)
     planner = Planner(schema, FIELDS)
-    plan = planner.plan(document, operation, variables)
+    memo = Memo()
+    planner.plan(document, operation, {"no": True, "near": "other", "n": 9}, "", memo)
+    plan = planner.plan(document, operation, variables, "", memo)  # what it remembers must not show
     fragments = {d.name.value: d for d in document.definitions if isinstance(d, FragmentDefinitionNode)}
     outcomes = []
     jobs: list[tuple[Any, ...]] = [(p.roots, p, p.document, p.variables) for p in plan.parts]
