--- a/standins/graphql.py
+++ b/standins/graphql.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import json
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
-from graphql import GraphQLError, build_schema, execute_sync, parse, validate
+from graphql import DocumentNode, GraphQLError, build_schema, execute_sync, parse, validate
 
 SCHEMA_FILE = Path(__file__).parent.parent / "deploy" / "dispatch.graphql"
 SCHEMA = build_schema(SCHEMA_FILE.read_text())
@@ -14,11 +15,22 @@
 WORK_OF = {"cabLookup": "cab-lookup", "rideAssign": "ride-assign"}
 
 
-def root_fields(query: str) -> list[str]:
-    """The names of the first operation's root fields, for the work that they are."""
+@lru_cache(maxsize=1024)
+def _read(query: str) -> tuple[DocumentNode | None, int, bytes]:
+    """A document, or the status and the body that say why it is none."""
     try:
         document = parse(query)
-    except GraphQLError:
+    except GraphQLError as error:
+        return None, 400, _errors([error], "GRAPHQL_PARSE_FAILED")
+    if found := validate(SCHEMA, document):
+        return None, 400, _errors(found, "GRAPHQL_VALIDATION_FAILED")
+    return document, 200, b""
+
+
+def root_fields(query: str) -> list[str]:
+    """The names of the first operation's root fields, for the work that they are."""
+    document, _, _ = _read(query)
+    if document is None:
         return []
     selections = getattr(document.definitions[0], "selection_set", None)
     return [node.name.value for node in selections.selections] if selections else []
@@ -27,12 +39,9 @@
 def answer(server: str, body: bytes) -> tuple[int, bytes]:
     """Status and body of a reply."""
     asked = json.loads(body)
-    try:
-        document = parse(asked["query"])
-    except GraphQLError as error:
-        return 400, _errors([error], "GRAPHQL_PARSE_FAILED")
-    if found := validate(SCHEMA, document):
-        return 400, _errors(found, "GRAPHQL_VALIDATION_FAILED")
+    document, status, fault = _read(asked["query"])
+    if document is None:
+        return status, fault
 
     def resolve(source: Any, info: Any, **arguments: Any) -> Any:
         if info.parent_type.name in ("Query", "Mutation"):
