Share the exchange of a request among stand-in clients; end the demo without noise

Cause: two clients had the same way of sending written out, and a proxy whose processor had ended raised into the demo's last lines. Change: one exchange; the proxy answers 500.

--- a/benchmarks/graphql.py
+++ b/benchmarks/graphql.py
@@ -23,7 +23,7 @@
 from standins.demo import FRONTS, NodeProcess
 from standins.fleet import Fleet, operators_file
 from standins.graphql import SCHEMA_FILE
-from standins.traffic import ASSIGN, Arrival, Result, arrivals, play, served_share
+from standins.traffic import ASSIGN, Arrival, Result, arrivals, exchange, play, result_of, served_share
 
 LOOKUP = "query L($p: String!) { cabLookup(pickup: $p) { pickup cabs { id minutes } } }"
 BOOK = "mutation A($r: ID!, $k: String) { rideAssign(ride: $r, key: $k) { id server } }"
@@ -51,30 +51,16 @@
 
 async def ask(address: str, arrival: Arrival, connections: http1.Connections) -> Result:
     """The same arrival as a GraphQL operation of one part."""
-    kind, began, status, wait = arrival.kind, time.monotonic(), 0, ""
+    kind, began = arrival.kind, time.monotonic()
     headers = {
         "host": "x", "request-id": arrival.name, "tenant": arrival.tenant, "content-type": "application/json",
         "accept": "application/graphql-response+json", "request-timeout": f"{kind.deadline:.0f}m",
     }  # fmt: skip
-    try:
-        async with asyncio.timeout(kind.deadline / 1000):
-            reader, writer = await connections.open(address)
-            try:
-                writer.write(http1.request("POST", "/graphql", headers, body(arrival)))
-                answer = await http1.read_message(reader)
-            except BaseException:
-                writer.close()
-                raise
-        status, wait = answer.status, answer.headers.get("retry-after", "")
-        if status == 200 and json.loads(answer.body).get("errors"):
-            status = 502  # an error in place of the one part
-        if answer.headers.get("connection") == "close":
-            writer.close()
-        else:
-            connections.keep(address, reader, writer)
-    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
-        pass
-    return Result(arrival, status, (time.monotonic() - began) * 1000, wait)
+    data = http1.request("POST", "/graphql", headers, body(arrival))
+    answer = await exchange(address, data, kind.deadline, connections)
+    if answer is not None and answer.status == 200 and json.loads(answer.body).get("errors"):
+        answer.start[1] = "502"  # an error in place of the one part
+    return result_of(arrival, began, answer)
 
 
 def cpu(pid: int) -> float:
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -86,7 +86,7 @@
         described |= {":authority": request.headers.get("host", "")} | request.headers
         try:
             return await self.through(request, described)
-        except (grpc.RpcError, TimeoutError):
+        except (grpc.RpcError, TimeoutError, asyncio.InvalidStateError):  # the last: it ended meanwhile
             return http1.answer(500)
 
     async def through(self, request: http1.Message, described: dict[str, str]) -> bytes:
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -82,6 +82,36 @@
         yield Arrival(at, kind, tenant, f"{seed:x}-{number:x}", f"ride{ride}")
 
 
+async def exchange(
+    address: str, data: bytes, deadline: float, connections: http1.Connections
+) -> http1.Message | None:
+    """One request on a connection that is kept; None where no answer came within `deadline` ms."""
+    try:
+        async with asyncio.timeout(deadline / 1000):
+            reader, writer = await connections.open(address)
+            try:
+                writer.write(data)
+                answer = await http1.read_message(reader)
+            except BaseException:
+                writer.close()
+                raise
+    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
+        return None
+    if answer.headers.get("connection") == "close":
+        writer.close()
+    else:
+        connections.keep(address, reader, writer)
+    return answer
+
+
+def result_of(arrival: Arrival, began: float, answer: http1.Message | None) -> Result:
+    """What came of an arrival that was sent at `began`."""
+    took = (time.monotonic() - began) * 1000
+    if answer is None:
+        return Result(arrival, 0, took, "")
+    return Result(arrival, answer.status, took, answer.headers.get("retry-after", ""))
+
+
 async def ask(address: str, arrival: Arrival, connections: http1.Connections) -> Result:
     """Send one request; its time counts from here."""
     kind, began = arrival.kind, time.monotonic()
@@ -94,24 +124,8 @@
     if kind.keyed:
         headers["idempotency-key"] = f"key-{arrival.name}"
     target = f"/{kind.name}/{arrival.ride}"
-    status, wait = 0, ""
-    try:
-        async with asyncio.timeout(kind.deadline / 1000):
-            reader, writer = await connections.open(address)
-            try:
-                writer.write(http1.request("POST" if kind.keyed else "GET", target, headers))
-                answer = await http1.read_message(reader)
-            except BaseException:
-                writer.close()
-                raise
-        status, wait = answer.status, answer.headers.get("retry-after", "")
-        if answer.headers.get("connection") == "close":
-            writer.close()
-        else:
-            connections.keep(address, reader, writer)
-    except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
-        pass
-    return Result(arrival, status, (time.monotonic() - began) * 1000, wait)
+    data = http1.request("POST" if kind.keyed else "GET", target, headers)
+    return result_of(arrival, began, await exchange(address, data, kind.deadline, connections))
 
 
 Ask = Callable[[str, Arrival, http1.Connections], Coroutine[Any, Any, Result]]
