--- a/tests/processor/test_failures.py
+++ b/tests/processor/test_failures.py
@@ -5,6 +5,7 @@
 import asyncio
 import datetime
 import ipaddress
+import os
 import signal
 import subprocess
 import sys
@@ -30,6 +31,8 @@
 from tests.processors import SERVERS, described, site_with_processor
 
 DESTINATION = "x-gateway-destination-endpoint"
+# Bad messages of each kind; the long form is `BADGERCART_FLOOD=33334 pytest tests/processor -k flood`.
+FLOOD = int(os.environ.get("BADGERCART_FLOOD", "100"))
 # The classes of the other tests, with attempts that time out after 40 ms.
 QUICK = tuple(RequestClass(40.0, 9000.0, 1.0, effect) for effect in CLASSES.values())
 
@@ -80,7 +83,7 @@
         async with site_with_processor() as bench, bench.proxy() as bad, bench.proxy("p-2") as good:
 
             async def flood(data: bytes) -> None:
-                for _ in range(100):
+                for _ in range(FLOOD):
                     stream = bad.raw()
                     await stream.call.write(data)
                     assert await stream.status() == "invalid_argument"
