Let a reload change the times, the guard and what a stale list means

Change: the move hands them on and says the state anew. Result: the new test failed before (no stale state within 10 s) and passes; the 21 tests of following etcd pass.

--- a/badgercart/membership/etcd/client.py
+++ b/badgercart/membership/etcd/client.py
@@ -134,7 +134,11 @@
             self.task.cancel()
         self.settings = self.follower.settings = settings
         self.follower.prefix = settings.prefix.encode()
+        self.follower.guard.share = settings.guard_share
         self.follower.forget()
+        self.freshness.rule = Rule(settings.doubtful_after, settings.stale_after)
+        self.look()
+        self.on_state(self.state)  # what follows from the same state may be another thing now
         self.member = 0
         self.task = asyncio.get_running_loop().create_task(self.run())
 
--- a/tests/etcd/test_following.py
+++ b/tests/etcd/test_following.py
@@ -439,6 +439,27 @@
     run(test())
 
 
+def test_other_times_and_another_guard_hold_from_the_move_on() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with members() as (etcd,):
+            await etcd.put(PREFIX + "a", entry("a", peer))
+            async with following(etcd, stale_after=1e9, doubtful_after=1e9) as node:
+                await node.state(State.FRESH)
+                await etcd.stop()
+                shorter = replace(
+                    node.source.settings, stale_after=300.0, doubtful_after=200.0, guard_share=0.1
+                )
+                node.source.move(shorter)
+                await node.state(State.STALE)
+                assert await node.ask() == 503 and node.source.follower.guard.share == 0.1
+                node.source.move(replace(shorter, when_stale="go-on"))
+                assert await node.ask() == 200
+                await etcd.start(etcd.port)
+
+    run(test())
+
+
 def test_a_flapping_server_ends_as_etcd_has_it() -> None:
     async def test() -> None:
         async with members() as (etcd,):  # noqa: SIM117  # one needs the other
