Drain HTTP listeners in one place; keep the stand-in's transactions linear

Cause: the GraphQL front had the HTTP front's way of draining written out again, and the stand-in etcd looked through all keys of a transaction for each of them. Change: Listener.drain serves both; the store keeps the keys under change in a set. Behaviour is as before.

--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -37,7 +37,7 @@
 )
 from badgercart.fronts.graphql.settings import GraphqlSettings
 from badgercart.fronts.http.clients import BadRequest, ClientConnection, ClientRequest, Headers, Listener
-from badgercart.fronts.http.front import ACCEPT_FOR, DRAIN_LOOK, MARGIN, SPARE_SOCKETS
+from badgercart.fronts.http.front import MARGIN, SPARE_SOCKETS
 from cottonhall.interface import Effect, Result
 
 MAX_KEY = 256  # bytes of a client's idempotency key
@@ -272,13 +272,7 @@
     async def drain(self) -> None:
         """Take what still comes and answer all that is held."""
         self.stopping = True
-        self.listener.close_idle()
-        await asyncio.sleep(ACCEPT_FOR)
-        self.listener.stop()
-        end = now_ms() + self.deadline
-        while self.listener.connections and now_ms() < end:
-            self.listener.close_idle()
-            await asyncio.sleep(DRAIN_LOOK)
+        await self.listener.drain(self.deadline)
 
     def close(self) -> None:
         self.listener.close()
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -32,6 +32,8 @@
 HASTE = 0.3  # s in which a request comes in unless its client is in no hurry
 SETTLED = 2.0  # s of standing idle after which its client has hardly any use for a connection
 ACCEPTS = 64  # connections taken over in one go, before those that are there are read
+ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 HEALTH_PATH = b"/_health"
 
 _TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
@@ -149,6 +151,18 @@
             self.socket.close()
             self.socket = None
 
+    async def drain(self, deadline: float) -> None:
+        """Take what still comes for a while, then see clients answered, for `deadline` ms at most."""
+        # A client that has been told the connection closes, or sees it close, comes back elsewhere.
+        self.close_idle()
+        await asyncio.sleep(ACCEPT_FOR)
+        self.stop()
+        # Who has not sent its whole request by now can't keep the node from ending.
+        end = now_ms() + deadline
+        while self.connections and now_ms() < end:
+            self.close_idle()
+            await asyncio.sleep(DRAIN_LOOK)
+
     def close(self) -> None:
         self.stop()
         if self.timer is not None:
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -8,7 +8,6 @@
 
 from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
-from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
 from badgercart.core.ports import Intake
 from badgercart.core.roster import Roster
@@ -16,8 +15,6 @@
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
-ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
-DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 
 log = logging.getLogger("badgercart")
 
@@ -73,15 +70,7 @@
         """Take what still comes and answer all that is held."""
         self.stopping = True
         log.info("stopping: %d requests held", len(self.join.held))
-        # A client that has been told the connection closes, or sees it close, comes back elsewhere.
-        self.listener.close_idle()
-        await asyncio.sleep(ACCEPT_FOR)
-        self.listener.stop()
-        # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
-        while self.listener.connections and now_ms() < end:
-            self.listener.close_idle()
-            await asyncio.sleep(DRAIN_LOOK)
+        await self.listener.drain(max(c.deadline for c in self.config.settings.classes))
 
     def close(self) -> None:
         self.listener.close()
--- a/standins/etcd_store.py
+++ b/standins/etcd_store.py
@@ -48,6 +48,7 @@
         self.leases: dict[int, Lease] = {}
         self.last_lease = 7_587_848_390_000_000_000
         self.pending: list[Any] = []  # events of the change under way
+        self.changing: set[bytes] = set()  # and their keys
 
     # Reading.
 
@@ -142,7 +143,7 @@
         return answer
 
     def record(self, kv: Any, old: Any | None, deleted: bool) -> None:
-        if any(event.kv.key == kv.key for event in self.pending):
+        if kv.key in self.changing:
             raise EtcdError(Code.INVALID_ARGUMENT, "duplicate key given in txn request")
         event = kv_pb2.Event(type=kv_pb2.Event.DELETE if deleted else kv_pb2.Event.PUT, kv=kv)
         if old is not None:
@@ -156,10 +157,11 @@
             self.versions[kv.key] = []
         self.versions[kv.key].append(kv)
         self.pending.append(event)
+        self.changing.add(kv.key)
 
     def change(self, operation: Any, request: Any) -> Any:
         """Carry out a write as one revision, whole or not at all."""
-        self.pending = []
+        self.pending, self.changing = [], set()
         try:
             answer = operation(request)
         except EtcdError:
