Take bursts and long responses that lie within the stated limits

Cause: two cases had been tested smaller than they are named, and failed at their size. 3,000 streams opened at once were cut off beyond 1,000 by the library's own limit on calls that wait to be taken. 10,000 entries of etcd replaced in one transaction took longer to be read than the watch may be silent, so it was left and begun anew for ever. Change: streams that come faster than they are taken wait, up to max_streams; silence is counted in steps that were waited through, and a stall of the node's own counts as one. SIGHUP to other endpoints is tested by signal.

--- a/badgercart/fronts/processor/server.py
+++ b/badgercart/fronts/processor/server.py
@@ -95,6 +95,9 @@
         self.server = grpc.aio.server(
             options=(
                 ("grpc.max_concurrent_streams", settings.max_connection_streams),
+                # Streams that come faster than they are taken wait, or a burst within the limits is cut off.
+                ("grpc.server.max_pending_requests", settings.max_streams),
+                ("grpc.server.max_pending_requests_hard_limit", 2 * settings.max_streams),
                 ("grpc.max_receive_message_length", settings.max_message),
                 ("grpc.max_metadata_size", 16384),
                 ("grpc.so_reuseport", 0),
--- a/badgercart/membership/etcd/client.py
+++ b/badgercart/membership/etcd/client.py
@@ -276,14 +276,22 @@
     async def ask_progress(self, call: Any) -> None:
         """Ask over and over whether all has been told; silence ends the connection."""
         request = rpc_pb2.WatchRequest(progress_request=rpc_pb2.WatchProgressRequest())
-        self.heard = self.clock()
+        # Silence is counted in steps that were waited through. A stall of our own, as over thousands of
+        # changes in one response, counts as one: else the watch would be left just as they are read, and
+        # left again each time that they are sent anew.
+        step = min(self.settings.progress, self.settings.silence / 4)
+        heard, quiet, ask_at = self.heard, 0.0, 0.0
         while True:
-            # One that is not answered (etcd passes them over while a watch lags behind) stands: what is
-            # answered later proves the list as of the first of them.
-            self.asked = self.asked or self.clock()
-            await call.write(request)
-            await asyncio.sleep(min(self.settings.progress, self.settings.silence) / 1000)
-            if self.clock() - max(self.heard, self.asked or self.heard) > self.settings.silence:
+            if self.clock() >= ask_at:
+                # One that is not answered (etcd passes them over while a watch lags behind) stands: what is
+                # answered later proves the list as of the first of them.
+                self.asked = self.asked or self.clock()
+                await call.write(request)
+                ask_at = self.clock() + self.settings.progress
+            await asyncio.sleep(step / 1000)
+            quiet = quiet + step if self.asked and self.heard == heard else 0.0
+            heard = self.heard
+            if quiet >= self.settings.silence:
                 raise Ended(machine.Failure.UNREACHABLE, "the watch is silent")
 
     def told(self, answer: Any) -> None:
--- a/tests/etcd/test_following.py
+++ b/tests/etcd/test_following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -23,7 +24,9 @@
 from badgercart.operator.file import Installation
 from badgercart.operator.run import Site
 from cottonhall.interface import State as ServerState
+from standins.demo import NodeProcess
 from standins.etcd import Etcd
+from standins.fleet import operators_file
 from tests.net import WAIT, Client, Peer, config, request, run
 from tests.processor.test_failures import authority, key_pem, pem, written
 
@@ -252,28 +255,35 @@
     run(test())
 
 
+COUNT = 10_000  # entries that are replaced in one go
+
+
+def puts(letter: str) -> list[Any]:
+    return [
+        rpc_pb2.PutRequest(
+            key=f"{PREFIX}{letter}{number}".encode(), value=entry(f"{letter}{number}").encode()
+        )
+        for number in range(COUNT)
+    ]
+
+
 def test_leases_take_a_dead_server_away_and_entries_in_bulk_are_replaced() -> None:
     async def test() -> None:
         async with members() as (etcd,):
             lease = etcd.store.grant(0, 30, time.monotonic())
             await etcd.put(PREFIX + "dead", entry("dead"), lease.number)
-            for number in range(300):
-                await etcd.put(f"{PREFIX}s{number}", entry(f"s{number}"))
-            async with following(etcd, page=100, guard_share=0.0) as node:
-                await node.until(lambda: len(node.listed()) == 301)
+            await etcd.txn(*puts("s"))
+            async with following(etcd, page=1000, guard_share=0.0) as node:
+                await node.until(lambda: len(node.listed()) == COUNT + 1)
                 lease.until = 0.0
-                await node.until(lambda: len(node.listed()) == 300 and "dead" not in node.listed())
-                puts = [
-                    rpc_pb2.PutRequest(key=f"{PREFIX}t{number}".encode(), value=entry(f"t{number}").encode())
-                    for number in range(300)
-                ]
+                await node.until(lambda: len(node.listed()) == COUNT and "dead" not in node.listed())
                 seen = []
                 took = node.source.on_list
                 node.source.on_list = lambda told: (took(told), seen.append(len(node.listed())))[0]  # type: ignore[func-returns-value]
                 gone = rpc_pb2.DeleteRangeRequest(key=f"{PREFIX}s".encode(), range_end=f"{PREFIX}t".encode())
-                await etcd.txn(gone, *puts)
-                await node.until(lambda: "t299" in node.listed())
-                assert seen == [300] and not any(name.startswith("s") for name in node.listed())
+                await etcd.txn(gone, *puts("t"))
+                await node.until(lambda: f"t{COUNT - 1}" in node.listed())
+                assert seen == [COUNT] and not any(name.startswith("s") for name in node.listed())
 
     run(test())
 
@@ -460,6 +470,24 @@
     run(test())
 
 
+def test_sighup_moves_a_node_to_the_endpoints_that_its_file_names(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with members(2) as (first, second):
+            await first.put(PREFIX + "a", entry("a"))
+            await second.put(PREFIX + "b", entry("b"))
+            path, node = tmp_path / "site.toml", NodeProcess()
+            path.write_text(operators_file("", first.address))
+            await node.start(path)
+            path.write_text(operators_file("", second.address))
+            node.process.send_signal(signal.SIGHUP)
+            async with asyncio.timeout(WAIT):
+                while not any("full: b ready" in line for line in node.lines):
+                    await asyncio.sleep(0.01)
+            assert await node.stop() == 0
+
+    run(test())
+
+
 def test_a_flapping_server_ends_as_etcd_has_it() -> None:
     async def test() -> None:
         async with members() as (etcd,):  # noqa: SIM117  # one needs the other
--- a/tests/processor/test_failures.py
+++ b/tests/processor/test_failures.py
@@ -53,23 +53,23 @@
     run(test())
 
 
-def test_a_thousand_idle_streams_are_within_the_limit_and_one_more_is_not() -> None:
+def test_thousands_of_idle_streams_are_within_the_limit_and_one_more_is_not() -> None:
     async def test() -> None:
         async with (
-            site_with_processor(max_streams=1000, max_connection_streams=2000) as bench,
+            site_with_processor(max_streams=3000, max_connection_streams=4000) as bench,
             bench.proxy() as proxy,
         ):
-            streams = [proxy.stream() for _ in range(1000)]
+            streams = [proxy.stream() for _ in range(3000)]
             await asyncio.gather(*(stream.call.wait_for_connection() for stream in streams))
             await asyncio.gather(*(stream.call.write(request_message({})) for stream in streams))
             await asyncio.gather(*(stream.call.read() for stream in streams))
-            assert len(bench.processor.connections) == 1000
+            assert len(bench.processor.connections) == 3000
             over = proxy.stream()
             await over.call.wait_for_connection()
             assert await over.status() == "resource_exhausted"
             streams[0].cancel()
             async with asyncio.timeout(WAIT):
-                while len(bench.processor.connections) == 1000:
+                while len(bench.processor.connections) == 3000:
                     await asyncio.sleep(0.001)
             assert (await proxy.stream().ask(described())).HasField("request_headers")
 
