--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -38,7 +38,7 @@
 from badgercart.fronts.processor.description import Described
 from badgercart.fronts.processor.outcomes import Phase, harmless, read_end
 from badgercart.fronts.processor.settings import ProcessorSettings
-from cottonhall.interface import Effect, Group, RequestClass, Result
+from cottonhall.interface import Result
 
 log = logging.getLogger("badgercart")
 
@@ -178,11 +178,6 @@
             self.calls.end_attempt(self, Result.CANCELLED)
 
 
-def _refusable(cls: RequestClass) -> bool:
-    """Whether a client may always be told that trying again does no harm."""
-    return cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
-
-
 class Calls:
     """All calls and streams of one processor. `now` is given with each event, in ms of the join's clock."""
 
@@ -191,7 +186,7 @@
         self.join = join
         self.roster = roster
         self.account = Account(settings.old_answers)
-        self.refusable = [_refusable(cls) for cls in join.policy.settings.classes]
+        self.refusable = [cls.refusable for cls in join.policy.settings.classes]
         self.open: dict[bytes, Call] = {}
         self.finals: OrderedDict[bytes, tuple[float, Immediate | None]] = OrderedDict()  # until when, which
 
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -88,6 +88,11 @@
         _need(isinstance(self.effect, Effect), "classes[].effect", self.effect)
         _need(isinstance(self.group, Group), "classes[].group", self.group)
 
+    @property
+    def refusable(self) -> bool:
+        """Whether a client may be told that trying again does no harm even if the request may have run."""
+        return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.group is Group.ALL)
+
 
 @dataclass(slots=True, frozen=True)
 class Settings:
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -544,16 +544,14 @@
     def end(self, job: Job) -> None:
         """The final answer without an open attempt: refused where that does no harm, else failed."""
         cls = self.settings.classes[job.request.cls]
-        safe = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         wait, number = self.refuse_wait(job.score), job.request.id
-        self.out.append(Refuse(number, wait) if safe or not job.maybe_ran else Fail(number))
+        self.out.append(Refuse(number, wait) if cls.refusable or not job.maybe_ran else Fail(number))
         self.finish(number)
 
     def repeatable(self, group: int) -> bool:
         """Whether a request that may have run, no one knows where, may be sent or refused all the same."""
         cls = self.settings.classes[group]
-        keyed = cls.effect is Effect.KEYED and cls.group is Group.ALL and cls.deadline < cls.window
-        return cls.effect is Effect.SAFE or keyed
+        return cls.refusable and (cls.effect is Effect.SAFE or cls.deadline < cls.window)
 
     def finish(self, job_id: int) -> None:
         job = self.jobs.pop(job_id, None)
