--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -53,9 +53,12 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a node that can read its file anew
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     logging.getLogger().handlers[0].addFilter(Sparse())
-    if len(sys.argv) > 1:
-        from badgercart.cli import main as command_line  # the platform's node has no use for it
-
+    if len(sys.argv) > 1 or "_BADGERCART_COMPLETE" in os.environ:
+        try:  # the platform's node has no use for it, nor for its libraries
+            from badgercart.operator.cli import main as command_line
+        except ModuleNotFoundError as error:
+            print(f"badgercart: {error}: pip install 'badgercart[operator]'", file=sys.stderr)
+            return 2
         return command_line(sys.argv[1:])
     try:
         config = read_config(os.environ)
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -33,6 +33,13 @@
     zones: dict[str, int]
     dial_timeout: float  # ms
     idle_timeout: float  # ms after which a server closes a connection that carries nothing
+    drain_grace: float = 500.0  # ms after which nothing new goes to a draining server
+    default_tenant: bytes | None = None  # whom requests without a tenant count for; None: they are bad
+
+    @property
+    def longest(self) -> float:
+        """The longest that any client waits, in ms."""
+        return max(cls.deadline for cls in self.settings.classes)
 
 
 def parse_address(text: str) -> Address:
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from graphql import FragmentDefinitionNode, OperationDefinitionNode, execute_sync, parse, print_ast
@@ -106,21 +107,20 @@
         roster: Roster,
         loop: asyncio.AbstractEventLoop,
         share: float = 1.0,  # of the descriptors
+        folder: Path = Path(),  # what the settings' files are relative to
     ) -> None:
         self.config, self.settings, self.join, self.roster = config, settings, join, roster
-        with open(settings.schema, encoding="utf-8") as file:
-            self.schema = read_schema(file.read())
+        self.schema = read_schema((folder / settings.schema_file).read_text("utf-8"))
         allowed = None
         if settings.allow_list is not None:
-            with open(settings.allow_list, encoding="utf-8") as file:
-                allowed = json.load(file)
-        self.planner = Planner(self.schema, settings.fields)
+            allowed = json.loads((folder / settings.allow_list).read_bytes())
+        self.planner = Planner(self.schema, settings.by_field)
         self.documents = Documents(
-            self.schema, self.planner, settings.limits, settings.cache, settings.introspection, allowed
+            self.schema, self.planner, settings.limits, settings.cache_bytes, settings.introspection, allowed
         )
         self.classes = {name.decode(): number for name, number in config.classes.items()}
         self.effects = [cls.effect for cls in config.settings.classes]
-        self.deadline = max(cls.deadline for cls in config.settings.classes)
+        self.deadline = config.longest
         self.stopping = False
         self.pages: dict[bytes, Callable[[], bytes]] = {}
         self.last = 0
@@ -269,10 +269,10 @@
         self.listener.start()
         log.info("GraphQL listens on %s:%d%s", *self.listener.address, self.settings.path)
 
-    async def drain(self) -> None:
-        """Take what still comes and answer all that is held."""
+    async def drain(self, until: float) -> None:
+        """Take what still comes and answer all that is held, until then (ms) at most."""
         self.stopping = True
-        await self.listener.drain(self.deadline)
+        await self.listener.drain(until)
 
     def close(self) -> None:
         self.listener.close()
--- /dev/null
+++ b/badgercart/fronts/graphql/part.py
@@ -0,0 +1,83 @@
+"""The GraphQL front as a part of an installation."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path as FilePath
+from typing import TYPE_CHECKING
+
+from badgercart.fronts.graphql.settings import GraphqlSettings
+from badgercart.operator.faults import Path
+from badgercart.operator.part import Checked, Declaration, Host, Kind
+from cottonhall.interface import Effect
+
+if TYPE_CHECKING:
+    from badgercart.fronts.graphql.front import GraphqlFront
+
+
+class GraphqlPart:
+    """GraphQL clients and servers; its schema and map take a restart."""
+
+    def __init__(self, host: Host, settings: GraphqlSettings) -> None:
+        from badgercart.fronts.graphql.front import GraphqlFront  # heavy: only where it is switched on
+
+        self.front: GraphqlFront = GraphqlFront(
+            host.config, settings, host.join, host.roster, host.loop, host.share, FilePath(host.folder)
+        )
+
+    async def start(self) -> None:
+        self.front.start()
+
+    def prepare(self, settings: GraphqlSettings) -> Callable[[], None] | None:
+        """Nothing here changes without a restart."""
+        return None
+
+    async def drain(self, until: float) -> None:
+        await self.front.drain(until)
+
+    def close(self) -> None:
+        self.front.close()
+
+
+def check(settings: GraphqlSettings, file: Checked) -> Iterator[tuple[Path, str]]:
+    """The map against the schema."""
+    from badgercart.fronts.graphql.mapping import faults, read_schema
+
+    folder = FilePath(file.folder)
+    try:
+        if settings.allow_list is not None and not isinstance(
+            json.loads((folder / settings.allow_list).read_bytes()), dict
+        ):
+            yield ("allow_list",), "holds no JSON object"
+    except (OSError, ValueError) as error:
+        yield ("allow_list",), f"can't be read: {error}"
+    try:
+        schema = read_schema((folder / settings.schema_file).read_text())
+    except (OSError, ValueError) as error:
+        yield ("schema",), f"can't be used: {error}"
+        return
+    places = {item.name: at for at, item in enumerate(settings.field)}
+    if len(places) < len(settings.field):
+        yield ("field",), "names a field twice"
+    effects = {cls.name: Effect(cls.effect) for cls in file.base.class_}
+    for name, key, words in faults(schema, settings.by_field, effects):
+        place: Path = ("field", places[name]) if name else ("field",)
+        yield (*place, key) if key else place, words
+
+
+PARTS = (
+    Declaration(
+        name="graphql",
+        key=("fronts", "graphql"),
+        kind=Kind.FRONT,
+        settings=GraphqlSettings,
+        about="a listener for GraphQL clients, in front of GraphQL dispatch servers",
+        build=GraphqlPart,
+        needs=("members",),
+        sockets=True,
+        check=check,
+        extra="graphql",
+        libraries=("graphql",),
+    ),
+)
--- a/badgercart/fronts/graphql/settings.py
+++ b/badgercart/fronts/graphql/settings.py
@@ -1,40 +1,57 @@
-"""What an operator may set of the GraphQL front; `operator.file` has units and checks."""
+"""What an operator may set of the GraphQL front."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from typing import Annotated
 
+from pydantic import Field
 
-@dataclass(slots=True, frozen=True)
-class Limits:
-    """What a document may cost. Each is checked before the document is validated or planned."""
+from badgercart.operator.model import Address, Listed, Name, Table
 
-    document: int = 16384  # bytes
-    tokens: int = 2000
-    depth: int = 15  # of selections, through fragments
-    aliases: int = 30
-    root_fields: int = 20  # of one operation, through fragments
-    directives: int = 50
-    fields: int = 1000  # of one operation, through fragments
-    variables: int = 65536  # bytes of their JSON
+MOST = 1 << 20
 
 
-@dataclass(slots=True, frozen=True)
-class FieldMap:
-    """What a root field is: `cls` by its name, and the arguments that hold its keys."""
+class Limits(Table):
+    """what a document may cost; each limit is checked before the document is validated or planned"""
 
-    cls: str
-    affinity: str | None = None  # the argument that says what it is about
-    key: str | None = None  # the argument that holds its idempotency key
+    document: int = Field(16384, ge=1, le=MOST, description="its size (bytes)")
+    tokens: int = Field(2000, ge=1, le=MOST, description="its tokens")
+    depth: int = Field(15, ge=1, le=MOST, description="levels of selections, through fragments")
+    aliases: int = Field(30, ge=1, le=MOST, description="aliases of one operation")
+    root_fields: int = Field(20, ge=1, le=MOST, description="root fields of one operation, through fragments")
+    directives: int = Field(50, ge=1, le=MOST, description="directives of one operation")
+    fields: int = Field(1000, ge=1, le=MOST, description="fields of one operation, through fragments")
+    variables: int = Field(65536, ge=1, le=MOST, description="the size of the variables (bytes)")
 
 
-@dataclass(slots=True, frozen=True)
-class GraphqlSettings:
-    listen: tuple[str, int]
-    schema: str  # the file with the schema's definition (SDL)
-    path: str = "/graphql"
-    allow_list: str | None = None  # a JSON file, documents by their SHA-256: with it nothing else is taken
-    introspection: bool = True
-    cache: int = 4 << 20  # bytes of documents whose plans are kept
-    limits: Limits = field(default_factory=Limits)
-    fields: dict[str, FieldMap] = field(default_factory=dict)  # by `Query.name` or `Mutation.name`
+class FieldMap(Table):
+    """a root field"""
+
+    name: Name = Field(description="Query.name or Mutation.name")
+    cls: Name = Field(alias="class", description="the class of its requests")
+    affinity: Name | None = Field(None, description="the argument that says what it is about")
+    key: Name | None = Field(None, description="the argument that holds its idempotency key")
+
+
+class GraphqlSettings(Table):
+    """a listener for GraphQL clients, in front of GraphQL dispatch servers"""
+
+    listen: Address = Field(description="the host:port to listen on")
+    schema_file: Name = Field(alias="schema", description="the file with the schema's definition (SDL)")
+    path: Annotated[Name, Field(pattern="^/")] = Field(
+        "/graphql", description="the path of requests, here and at the servers"
+    )
+    allow_list: Name | None = Field(
+        None, description="a JSON file of the only documents taken, by their SHA-256"
+    )
+    introspection: bool = Field(True, description="whether clients may read the schema")
+    cache_bytes: int = Field(
+        4 << 20, ge=0, le=1 << 30, description="what documents and plans may hold (bytes)"
+    )
+    limits: Limits = Limits()
+    field: Annotated[tuple[FieldMap, ...], Listed] = Field(description="a root field")
+
+    @property
+    def by_field(self) -> dict[str, FieldMap]:
+        """The map by `Query.name` or `Mutation.name`."""
+        return {item.name: item for item in self.field}
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -151,15 +151,14 @@
             self.socket.close()
             self.socket = None
 
-    async def drain(self, deadline: float) -> None:
-        """Take what still comes for a while, then see clients answered, for `deadline` ms at most."""
+    async def drain(self, until: float) -> None:
+        """Take what still comes for a while, then see clients answered, until then (ms) at most."""
         # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
         self.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + deadline
-        while self.connections and now_ms() < end:
+        while self.connections and now_ms() < until:
             self.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
 
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -29,6 +29,7 @@
         roster: Roster,
         loop: asyncio.AbstractEventLoop,
         share: float = 1.0,  # of the descriptors
+        pages: dict[bytes, Callable[[], bytes]] | None = None,  # what operators may ask for, by path
     ) -> None:
         self.config = config
         self.join = join
@@ -40,7 +41,7 @@
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, join.ended)
         roster.on_change.append(self.pool.update)
         self.listener = Listener(loop, config.listen, self, room - servers, platform_requests(config))
-        self.pages: dict[bytes, Callable[[], bytes]] = {}  # what operators may ask of the listener, by path
+        self.pages = {} if pages is None else pages
 
     @property
     def healthy(self) -> bool:
@@ -66,11 +67,11 @@
         self.listener.start()
         log.info("%s listens on %s:%d", self.config.name, *self.listener.address)
 
-    async def drain(self) -> None:
-        """Take what still comes and answer all that is held."""
+    async def drain(self, until: float) -> None:
+        """Take what still comes and answer all that is held, until then (ms) at most."""
         self.stopping = True
         log.info("stopping: %d requests held", len(self.join.held))
-        await self.listener.drain(max(c.deadline for c in self.config.settings.classes))
+        await self.listener.drain(until)
 
     def close(self) -> None:
         self.listener.close()
--- /dev/null
+++ b/badgercart/fronts/http/part.py
@@ -0,0 +1,58 @@
+"""The HTTP front as a part of an installation."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from pydantic import Field
+
+from badgercart.operator.model import Address, Table
+from badgercart.operator.part import Declaration, Host, Kind
+
+if TYPE_CHECKING:
+    from badgercart.fronts.http.front import HttpFront
+
+
+class HttpSettings(Table):
+    """a listener for HTTP/1.1 clients"""
+
+    listen: Address = Field(description="the host:port to listen on")
+
+
+class HttpPart:
+    """Clients by the platform's protocol, and operators' pages on the same listener."""
+
+    def __init__(self, host: Host, settings: HttpSettings) -> None:
+        from badgercart.fronts.http.front import HttpFront
+
+        config = replace(host.config, listen=settings.listen)
+        self.front: HttpFront = HttpFront(config, host.join, host.roster, host.loop, host.share, host.pages)
+
+    async def start(self) -> None:
+        self.front.start()
+
+    def prepare(self, settings: HttpSettings) -> Callable[[], None] | None:
+        """Nothing here changes without a restart."""
+        return None
+
+    async def drain(self, until: float) -> None:
+        await self.front.drain(until)
+
+    def close(self) -> None:
+        self.front.close()
+
+
+PARTS = (
+    Declaration(
+        name="http",
+        key=("fronts", "http"),
+        kind=Kind.FRONT,
+        settings=HttpSettings,
+        about="a listener for HTTP/1.1 clients",
+        build=HttpPart,
+        needs=("members",),
+        sockets=True,
+    ),
+)
--- a/badgercart/fronts/processor/account.py
+++ b/badgercart/fronts/processor/account.py
@@ -66,7 +66,7 @@
                 return Standing.REFUSED
             proxy.refused_until = 0.0
             proxy.uses.clear()
-        while proxy.uses and proxy.uses[0] <= now - self.rule.window:
+        while proxy.uses and proxy.uses[0] <= now - self.rule.window_ms:
             proxy.uses.popleft()
         return Standing.NO_FALLBACKS if len(proxy.uses) >= self.rule.no_fallbacks_after else Standing.GOOD
 
@@ -79,6 +79,6 @@
             proxy.uses.popleft()
         standing = self.standing(proxy, now)
         if standing is not Standing.REFUSED and len(proxy.uses) >= self.rule.refuse_after:
-            proxy.refused_until = now + self.rule.refuse_for
+            proxy.refused_until = now + self.rule.refuse_for_ms
             return Standing.REFUSED
         return standing
--- a/badgercart/fronts/processor/ask.py
+++ b/badgercart/fronts/processor/ask.py
@@ -9,7 +9,6 @@
 import grpc
 
 PATIENCE = 5.0  # s
-COLUMNS = ("standing", "answered", "unseen", "first", "fallback", "lost", "old", "drained", "refused")
 
 
 class AskError(Exception):
@@ -31,12 +30,3 @@
         except grpc.RpcError as error:
             raise AskError(f"{error.code().name.lower()}: {error.details()}") from None
     return told
-
-
-def table(told: dict[str, Any]) -> str:
-    """One line a proxy."""
-    rows = [("proxy", *COLUMNS)]
-    rows += [(name, *(str(row[column]) for column in COLUMNS)) for name, row in told["proxies"].items()]
-    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
-    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
-    return "\n".join((*(line.rstrip() for line in lines), f"{told['open']} calls open"))
--- /dev/null
+++ b/badgercart/fronts/processor/commands.py
@@ -0,0 +1,39 @@
+"""`badgercart processor`: what a running external processor says of its proxies."""
+
+from __future__ import annotations
+
+import json
+
+import click
+
+from badgercart.operator.console import show_table
+from badgercart.operator.exits import CommandError
+
+COLUMNS = ("standing", "answered", "unseen", "first", "fallback", "lost", "old", "drained", "refused")
+
+
+@click.group()
+def processor() -> None:
+    """Ask a running external processor."""
+
+
+@processor.command()
+@click.argument("address", metavar="HOST:PORT")
+@click.option("--json", "as_json", is_flag=True, help="As JSON, not as a table.")
+@click.option("--ca", metavar="PEM", help="The authority of its certificate, where it has TLS.")
+@click.option("--cert", metavar="PEM", help="This client's certificate.")
+@click.option("--key", metavar="PEM", help="And its key.")
+def proxies(address: str, as_json: bool, ca: str | None, cert: str | None, key: str | None) -> None:
+    """The account of each calling proxy."""
+    from badgercart.fronts.processor.ask import AskError, ask  # heavy
+
+    try:
+        told = ask(address, ca, cert, key)
+    except AskError as error:
+        raise CommandError(f"{address}: {error}") from None
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    rows = [(name, *(str(row[column]) for column in COLUMNS)) for name, row in told["proxies"].items()]
+    show_table(("proxy", *COLUMNS), rows)
+    click.echo(f"{told['open']} calls open")
--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -181,8 +181,15 @@
 class Calls:
     """All calls and streams of one processor. `now` is given with each event, in ms of the join's clock."""
 
-    def __init__(self, settings: ProcessorSettings, join: Join, roster: Roster) -> None:
+    def __init__(
+        self,
+        settings: ProcessorSettings,
+        join: Join,
+        roster: Roster,
+        drain_grace: float = 500.0,  # ms
+    ) -> None:
         self.settings = settings
+        self.drain_grace = drain_grace
         self.join = join
         self.roster = roster
         self.account = Account(settings.old_answers)
@@ -332,10 +339,10 @@
         call.told = True
         call.proxy.answered += 1
         call.proxy.unseen += 1
-        late = max(0.0, order.limit) + self.settings.late
+        late = max(0.0, order.limit) + self.settings.late_ms
         call.timer = self.join.timers.call_later(late / 1000, self.expire, call)
         limit = max(1.0, order.limit)
-        age = min(self.settings.answer_age, self.settings.drain_grace, limit)
+        age = min(self.settings.answer_age_ms, self.drain_grace, limit)
         endpoints = tuple([member.endpoint for member in members if member is not None])
         call.endpoint = endpoints[0]
         stream.guarded = not call.refusable
@@ -403,7 +410,7 @@
             return None
         # Neither: the proxy used an answer of another time. What it was told for this request went nowhere.
         leaving = self.roster.leaving.get(at)
-        drained = leaving is not None and now - leaving > self.settings.drain_grace
+        drained = leaving is not None and now - leaving > self.drain_grace
         before = self.account.standing(proxy, now)
         after = self.account.used_old(proxy, drained, now)
         if before is not after:
@@ -438,7 +445,7 @@
         self.stop_timer(call)
         order, now = call.order, self.join.clock()
         if self.settings.later_attempts and parked:
-            wait = min(self.settings.later_wait, call.due - now)
+            wait = min(self.settings.later_wait_ms, call.due - now)
             call.timer = self.join.timers.call_later(max(0.0, wait) / 1000, self.given_up, call)
         self.seen(call)
         call.step = Step.PARKED
--- /dev/null
+++ b/badgercart/fronts/processor/part.py
@@ -0,0 +1,67 @@
+"""The external processor as a part of an installation."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from badgercart.fronts.processor.settings import ProcessorSettings
+from badgercart.operator.faults import Path
+from badgercart.operator.part import Checked, Declaration, Host, Kind, ReloadError
+
+if TYPE_CHECKING:
+    from badgercart.fronts.processor.server import Processor
+
+
+class ProcessorPart:
+    """Proxies that ask; SIGHUP reads the PEM files of its certificate anew."""
+
+    def __init__(self, host: Host, settings: ProcessorSettings) -> None:
+        from badgercart.fronts.processor.server import Processor  # heavy: only where it is switched on
+
+        self.front: Processor = Processor(host.config, settings, host.join, host.roster, host.loop)
+
+    async def start(self) -> None:
+        await self.front.start()
+
+    def prepare(self, settings: ProcessorSettings) -> Callable[[], None] | None:
+        from badgercart.fronts.processor.server import TlsError, read_tls
+
+        tls = self.front.settings.tls
+        if tls is None:
+            return None
+        try:
+            certificate = read_tls(tls)
+        except TlsError as error:
+            raise ReloadError(f"the certificate: {error}") from None
+        return lambda: self.front.replace_certificate(certificate)
+
+    async def drain(self, until: float) -> None:
+        await self.front.drain(until)
+
+    def close(self) -> None:
+        self.front.close()
+
+
+def check(settings: ProcessorSettings, file: Checked) -> Iterator[tuple[Path, str]]:
+    if settings.answer_age_ms > file.base.fleet.drain_grace_ms:
+        yield ("answer_age_ms",), "is longer than fleet.drain_grace_ms"
+    if settings.old_answers.refuse_after < settings.old_answers.no_fallbacks_after:
+        yield ("old_answers", "refuse_after"), "is below no_fallbacks_after"
+
+
+PARTS = (
+    Declaration(
+        name="processor",
+        key=("fronts", "processor"),
+        kind=Kind.FRONT,
+        settings=ProcessorSettings,
+        about="a listener for proxies that ask by Envoy's external processing protocol",
+        build=ProcessorPart,
+        needs=("members",),
+        check=check,
+        extra="processor",
+        libraries=("grpc", "envoy"),
+        commands="badgercart.fronts.processor.commands:processor",
+    ),
+)
--- a/badgercart/fronts/processor/server.py
+++ b/badgercart/fronts/processor/server.py
@@ -13,6 +13,7 @@
 import grpc.aio
 
 from badgercart.config import Address, Config
+from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
 from badgercart.core.requests import BadDescription
 from badgercart.core.roster import Roster
@@ -86,9 +87,9 @@
         self.settings = settings
         self.join = join
         self.loop = loop
-        self.calls = Calls(settings, join, roster)
+        self.calls = Calls(settings, join, roster, config.drain_grace)
         self.describer = Describer(config, settings)
-        self.deadline = max(cls.deadline for cls in config.settings.classes) / 1000
+        self.deadline = config.longest / 1000
         self.connections: set[Connection] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.certificate: Any = read_tls(settings.tls) if settings.tls else None
@@ -98,7 +99,7 @@
                 # Streams that come faster than they are taken wait, or a burst within the limits is cut off.
                 ("grpc.server.max_pending_requests", settings.max_streams),
                 ("grpc.server.max_pending_requests_hard_limit", 2 * settings.max_streams),
-                ("grpc.max_receive_message_length", settings.max_message),
+                ("grpc.max_receive_message_length", settings.max_message_bytes),
                 ("grpc.max_metadata_size", 16384),
                 ("grpc.so_reuseport", 0),
                 # A connection whose other end is gone without a word is noticed within 25 s.
@@ -140,22 +141,16 @@
         self.sweep()
         log.info("the processor listens on %s:%d%s", host, port, " with TLS" if self.certificate else "")
 
-    def reload(self) -> None:
-        """Read the PEM files anew; connections that are open stay as they are."""
-        if self.settings.tls is None:
-            return
-        try:
-            self.certificate = read_tls(self.settings.tls)
-        except TlsError as error:
-            log.error("the processor's certificate stays as it was: %s", error)
-        else:
-            log.info("the processor's certificate was read anew")
+    def replace_certificate(self, certificate: Any) -> None:
+        """Connections that are open stay as they are."""
+        self.certificate = certificate
+        log.info("the processor's certificate was read anew")
 
-    async def drain(self) -> None:
-        """Take what still comes, see all calls to their end, then end."""
+    async def drain(self, until: float) -> None:
+        """Take what still comes, see all calls to their end, until then (ms) at most, then end."""
         log.info("the processor stops: %d calls open", len(self.calls.open))
         await asyncio.sleep(ACCEPT_FOR)
-        stopping = self.loop.create_task(self.server.stop(self.deadline + ACCEPT_FOR))
+        stopping = self.loop.create_task(self.server.stop(max(0.0, until - now_ms()) / 1000))
         quiet = 0
         while quiet < 3 and not stopping.done():  # a message may just lie unread
             await asyncio.sleep(DRAIN_LOOK)
@@ -219,7 +214,7 @@
     async def drive(self, connection: Connection, context: Any) -> None:
         """Take messages and write replies until the proxy is done."""
         stream, out = connection.stream, connection.out
-        connection.until = self.loop.time() + self.settings.first_message / 1000
+        connection.until = self.loop.time() + self.settings.first_message_ms / 1000
         reading: asyncio.Future[Any] | None = None
         try:
             while True:
--- a/badgercart/fronts/processor/settings.py
+++ b/badgercart/fronts/processor/settings.py
@@ -1,60 +1,106 @@
-"""What an operator may set of the processor, with defaults; `operator.file` has units and checks."""
+"""What an operator may set of the processor."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from typing import Annotated
 
+from pydantic import Field
 
-@dataclass(slots=True, frozen=True)
-class Tls:
-    """PEM files, read at the start and anew on SIGHUP. With `client_ca`, no client without a certificate."""
+from badgercart.operator.model import LONG, Address, Headers, Name, Table
 
-    cert: str
-    key: str
-    client_ca: str | None = None
+Streams = Annotated[int, Field(ge=1, le=100_000)]
 
 
-@dataclass(slots=True, frozen=True)
-class HeaderNames:
-    """Where a description has its parts: the first header that is there counts."""
+class Tls(Table):
+    """TLS on the listener, from PEM files that are read anew on SIGHUP"""
 
-    request_id: tuple[str, ...] = ("request-id", "x-request-id")
-    tenant: tuple[str, ...] = ("tenant",)
-    idempotency_key: tuple[str, ...] = ("idempotency-key",)
-    timeout: tuple[str, ...] = ("request-timeout",)  # 480m or 1500u, as in the platform's protocol
-    timeout_ms: tuple[str, ...] = ("x-envoy-expected-rq-timeout-ms",)
-    attempt: tuple[str, ...] = ("x-envoy-attempt-count",)
-    work_hint: tuple[str, ...] = ("work-hint",)
-    retry: tuple[str, ...] = ("client-retry",)
-    proxy: tuple[str, ...] = ("x-proxy-name",)  # of the gRPC call, not of the request
+    cert: Name = Field(description="the file with the certificate and its chain")
+    key: Name = Field(description="the file with its private key")
+    client_ca: Name | None = Field(
+        None,
+        description="the file with the authorities of clients' certificates; with it nobody without one "
+        "is answered",
+    )
 
 
-@dataclass(slots=True, frozen=True)
-class OldAnswers:
-    """When a proxy that uses old answers loses its fallbacks, and when it is refused."""
+class HeaderNames(Table):
+    """which headers describe a request; of several the first that is there counts"""
 
-    window: float = 60000.0  # ms over which uses are counted
-    no_fallbacks_after: int = 3
-    refuse_after: int = 10
-    refuse_for: float = 10000.0  # ms
+    request_id: Headers = Field(("request-id", "x-request-id"), description="the request's id")
+    tenant: Headers = Field(("tenant",), description="the tenant")
+    idempotency_key: Headers = Field(("idempotency-key",), description="the idempotency key")
+    timeout: Headers = Field(("request-timeout",), description="the time that is left, as 480m or 1500u")
+    timeout_ms: Headers = Field(
+        ("x-envoy-expected-rq-timeout-ms",), description="the time that is left, in ms"
+    )
+    attempt: Headers = Field(("x-envoy-attempt-count",), description="the number of the attempt, from 1")
+    work_hint: Headers = Field(("work-hint",), description="a guess at the work, in microseconds")
+    retry: Headers = Field(("client-retry",), description="a 1 for a client's retry")
+    proxy: Headers = Field(
+        ("x-proxy-name",), description="the calling proxy's name, in the metadata of its call"
+    )
 
 
-@dataclass(slots=True, frozen=True)
-class ProcessorSettings:
-    listen: tuple[str, int]
+class OldAnswers(Table):
+    """what happens to a proxy that uses answers beyond their age"""
+
+    window_ms: float = Field(
+        60000.0, ge=1000, le=LONG, description="the time over which uses are counted (ms)"
+    )
+    no_fallbacks_after: int = Field(3, ge=1, le=100_000, description="uses after which it gets no fallbacks")
+    refuse_after: int = Field(10, ge=1, le=100_000, description="uses after which it is refused")
+    refuse_for_ms: float = Field(
+        10000.0, ge=100, le=LONG, description="the time for which it then is refused (ms)"
+    )
+
+
+class ProcessorSettings(Table):
+    """a listener for proxies that ask by Envoy's external processing protocol"""
+
+    listen: Address = Field(description="the host:port to listen on")
     tls: Tls | None = None
-    max_streams: int = 2000  # open at once, over all connections
-    max_connection_streams: int = 1000  # open at once on one connection
-    max_message: int = 65536  # bytes
-    max_headers: int = 128  # of one message
-    first_message: float = 60000.0  # ms for a stream to ask
-    answer_age: float = 300.0  # ms for which an answer may be used; never more than the drain grace
-    drain_grace: float = 500.0  # ms
-    fallbacks: int = 1  # servers named behind the first where the class allows another attempt
-    later_attempts: bool = False  # whether proxies ask again, with a count above 1, for a further attempt
-    later_wait: float = 250.0  # ms for which an ended attempt's request waits to be asked again
-    late: float = 50.0  # ms after an attempt's limit for the proxy to tell of its end
-    whole_retry_after: bool = False  # whole seconds, rounded up
-    max_finals: int = 4096  # requests remembered after their final answer, so that they aren't taken twice
-    headers: HeaderNames = field(default_factory=HeaderNames)
-    old_answers: OldAnswers = field(default_factory=OldAnswers)
+    max_streams: Streams = Field(
+        2000, description="streams open at once; one more ends with RESOURCE_EXHAUSTED"
+    )
+    max_connection_streams: Streams = Field(
+        1000, description="streams open at once on one connection; more wait at the proxy"
+    )
+    max_message_bytes: int = Field(
+        65536,
+        ge=1024,
+        le=1 << 22,
+        description="the size of one message (bytes); a larger one ends its stream",
+    )
+    max_headers: int = Field(128, ge=8, le=1000, description="headers in one message; more are answered 431")
+    first_message_ms: float = Field(
+        60000.0, ge=100, le=LONG, description="the time for a stream to ask (ms), after which it is ended"
+    )
+    answer_age_ms: float = Field(
+        300.0,
+        ge=1,
+        le=500,
+        description="the time for which an answer may be used (ms), at most fleet.drain_grace_ms",
+    )
+    fallbacks: int = Field(
+        1, ge=0, le=8, description="servers named behind the first where the class allows it"
+    )
+    later_attempts: bool = Field(
+        False, description="whether proxies ask again here for a further attempt, as an upstream filter does"
+    )
+    later_wait_ms: float = Field(
+        250.0, ge=1, le=LONG, description="the time for which a request waits to be asked again (ms)"
+    )
+    late_ms: float = Field(
+        50.0,
+        ge=1,
+        le=LONG,
+        description="the time after an attempt's limit for the proxy to tell its end (ms)",
+    )
+    whole_retry_after: bool = Field(
+        False, description="whether Retry-After is told in whole seconds, rounded up"
+    )
+    max_finals: int = Field(
+        4096, ge=1, le=1_000_000, description="requests remembered after their final answer"
+    )
+    headers: HeaderNames = HeaderNames()
+    old_answers: OldAnswers = OldAnswers()
--- a/badgercart/membership/etcd/client.py
+++ b/badgercart/membership/etcd/client.py
@@ -81,7 +81,7 @@
     password = Path(settings.password_file or os.devnull).read_text().rstrip("\n")
     request = rpc_pb2.AuthenticateRequest(name=settings.user, password=password)
     stub = rpc_pb2_grpc.AuthStub(channel)
-    return str((await stub.Authenticate(request, timeout=settings.call / 1000)).token)
+    return str((await stub.Authenticate(request, timeout=settings.call_ms / 1000)).token)
 
 
 def header_of(header: Any) -> machine.Header:
@@ -103,7 +103,7 @@
         self.settings = settings
         self.on_list, self.on_state, self.clock = on_list, on_state, clock
         self.follower = machine.Follower(settings, read, rng)
-        self.freshness = Freshness(Rule(settings.doubtful_after, settings.stale_after))
+        self.freshness = Freshness(Rule(settings.doubtful_after_ms, settings.stale_after_ms))
         self.state = State.STALE
         self.member = rng.randrange(len(settings.endpoints))  # nodes spread over the members
         self.task: asyncio.Task[None] | None = None
@@ -136,7 +136,7 @@
         self.follower.prefix = settings.prefix.encode()
         self.follower.guard.share = settings.guard_share
         self.follower.forget()
-        self.freshness.rule = Rule(settings.doubtful_after, settings.stale_after)
+        self.freshness.rule = Rule(settings.doubtful_after_ms, settings.stale_after_ms)
         self.look()
         self.on_state(self.state)  # what follows from the same state may be another thing now
         self.member = 0
@@ -233,7 +233,7 @@
             key=order.start, range_end=prefix_end(prefix), revision=order.revision, limit=order.limit
         )
         stub = rpc_pb2_grpc.KVStub(channel)
-        answer = await stub.Range(request, metadata=metadata, timeout=self.settings.call / 1000)
+        answer = await stub.Range(request, metadata=metadata, timeout=self.settings.call_ms / 1000)
         self.bytes += answer.ByteSize()
         pairs = [machine.Pair(kv.key, kv.value, kv.mod_revision) for kv in answer.kvs]
         page = machine.Page(header_of(answer.header), pairs, answer.more)
@@ -252,7 +252,7 @@
         asking: asyncio.Future[None] | None = None
         reading: asyncio.Future[Any] | None = None
         try:
-            async with asyncio.timeout(self.settings.call / 1000):
+            async with asyncio.timeout(self.settings.call_ms / 1000):
                 await call.write(rpc_pb2.WatchRequest(create_request=create))
             self.asked = 0.0
             asking = asyncio.ensure_future(self.ask_progress(call))
@@ -279,7 +279,7 @@
         # Silence is counted in steps that were waited through. A stall of our own, as over thousands of
         # changes in one response, counts as one: else the watch would be left just as they are read, and
         # left again each time that they are sent anew.
-        step = min(self.settings.progress, self.settings.silence / 4)
+        step = min(self.settings.progress_ms, self.settings.silence_ms / 4)
         heard, quiet, ask_at = self.heard, 0.0, 0.0
         while True:
             if self.clock() >= ask_at:
@@ -287,11 +287,11 @@
                 # answered later proves the list as of the first of them.
                 self.asked = self.asked or self.clock()
                 await call.write(request)
-                ask_at = self.clock() + self.settings.progress
+                ask_at = self.clock() + self.settings.progress_ms
             await asyncio.sleep(step / 1000)
             quiet = quiet + step if self.asked and self.heard == heard else 0.0
             heard = self.heard
-            if quiet >= self.settings.silence:
+            if quiet >= self.settings.silence_ms:
                 raise Ended(machine.Failure.UNREACHABLE, "the watch is silent")
 
     def told(self, answer: Any) -> None:
--- /dev/null
+++ b/badgercart/membership/etcd/commands.py
@@ -0,0 +1,141 @@
+"""`badgercart members`: list and change the entries in etcd.
+
+Exit status: 0 done, and with --from-node no difference; 1 could not be done, or a difference; 2 bad input.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import click
+
+from badgercart.config import parse_address
+from badgercart.membership.etcd.settings import EtcdSettings, EtcdTls
+from badgercart.operator.exits import CommandError, Exit
+
+if TYPE_CHECKING:
+    from badgercart.membership.etcd.members import Members
+
+PATIENCE = 5000.0  # ms for each call
+
+DRY_RUN = click.option("--dry-run", is_flag=True, help="Say what would be done, and do nothing.")
+NAMES = click.argument("names", nargs=-1, required=True, metavar="INSTANCE...")
+
+
+@dataclass(slots=True)
+class Access:
+    """How etcd is reached."""
+
+    settings: EtcdSettings
+
+    def run(self, act: Callable[[Members], Awaitable[int]], dry_run: bool = False) -> None:
+        """Do one thing and exit with its status."""
+        from badgercart.membership.etcd.members import Members  # heavy
+
+        try:
+            status = asyncio.run(Members(self.settings, dry_run).run(act))
+        except KeyboardInterrupt:
+            status = Exit.DONE
+        raise click.exceptions.Exit(status)
+
+
+@click.group()
+@click.option("--etcd", required=True, metavar="HOST:PORT[,…]", help="Members of etcd.")
+@click.option(
+    "--prefix",
+    default=EtcdSettings.model_fields["prefix"].default,
+    show_default=True,
+    help="What the entries' keys begin with.",
+)
+@click.option("--user", help="The user, with --password-file.")
+@click.option("--password-file", metavar="FILE", help="The file that holds the user's password.")
+@click.option("--ca", metavar="PEM", help="The authority of etcd's certificate, where it has TLS.")
+@click.option("--cert", metavar="PEM", help="This client's certificate.")
+@click.option("--key", metavar="PEM", help="And its key.")
+@click.pass_context
+def members(
+    ctx: click.Context,
+    etcd: str,
+    prefix: str,
+    user: str | None,
+    password_file: str | None,
+    ca: str | None,
+    cert: str | None,
+    key: str | None,
+) -> None:
+    """List and change the entries in etcd."""
+    try:
+        endpoints = tuple(parse_address(text) for text in etcd.split(","))
+    except ValueError as error:
+        raise CommandError(f"--etcd: {error}", Exit.USAGE) from None
+    ctx.obj = Access(
+        EtcdSettings(
+            endpoints=endpoints,
+            prefix=prefix,
+            user=user,
+            password_file=password_file,
+            tls=EtcdTls(ca=ca, cert=cert, key=key) if ca else None,
+            call_ms=PATIENCE,
+        )
+    )
+
+
+@members.command("list")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
+@click.option(
+    "--from-node",
+    metavar="HOST:PORT",
+    help="Compare with what the node behind this HTTP front believes; exit 1 where they differ.",
+)
+@click.pass_obj
+def list_(access: Access, as_json: bool, from_node: str | None) -> None:
+    """All entries, in a table, with what is wrong with bad ones."""
+    access.run(lambda there: there.list_entries(as_json, from_node))
+
+
+@members.command()
+@click.pass_obj
+def watch(access: Access) -> None:
+    """Changes as they come, one a line, until interrupted."""
+    access.run(lambda there: there.watch())
+
+
+@members.command()
+@click.argument("entry")
+@click.option("--ttl", type=click.IntRange(1), metavar="S", help="Bind it to a lease of so many seconds.")
+@DRY_RUN
+@click.pass_obj
+def put(access: Access, entry: str, ttl: int | None, dry_run: bool) -> None:
+    """Write ENTRY, the JSON of a list line; - reads it from standard input."""
+    access.run(lambda there: there.put(entry, ttl), dry_run)
+
+
+@members.command()
+@NAMES
+@click.option("--undo", is_flag=True, help="Make them active again.")
+@DRY_RUN
+@click.pass_obj
+def drain(access: Access, names: tuple[str, ...], undo: bool, dry_run: bool) -> None:
+    """Have servers finish what they have and get nothing new."""
+    access.run(lambda there: there.drain(names, undo), dry_run)
+
+
+@members.command()
+@NAMES
+@DRY_RUN
+@click.pass_obj
+def remove(access: Access, names: tuple[str, ...], dry_run: bool) -> None:
+    """Delete entries; several at once are one revision."""
+    access.run(lambda there: there.remove(names), dry_run)
+
+
+@members.command()
+@click.argument("how", type=click.Choice(("on", "off")))
+@DRY_RUN
+@click.pass_obj
+def allow_shrink(access: Access, how: str, dry_run: bool) -> None:
+    """Let the list shrink below the guard's share."""
+    access.run(lambda there: there.allow_shrink(how == "on"), dry_run)
--- a/badgercart/membership/etcd/follower.py
+++ b/badgercart/membership/etcd/follower.py
@@ -189,7 +189,7 @@
 
     def again(self, next_member: bool) -> list[Order]:
         self.phase = Phase.IDLE
-        delay = min(self.settings.retry_first * 2.0 ** min(self.tries, 16), self.settings.retry_most)
+        delay = min(self.settings.retry_first_ms * 2.0 ** min(self.tries, 16), self.settings.retry_most_ms)
         self.tries += 1
         # Nodes that lost etcd together must not come back together.
         return [Wait(delay * (0.5 + self.random.random()), next_member)]
--- /dev/null
+++ b/badgercart/membership/etcd/part.py
@@ -0,0 +1,95 @@
+"""Following etcd as a part of an installation."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import random
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from badgercart.core.roster import MemberList
+from badgercart.membership.etcd.settings import EtcdSettings
+from badgercart.membership.freshness import State
+from badgercart.operator.faults import Path
+from badgercart.operator.part import Checked, Declaration, Host, Kind
+from cottonhall.interface import ListKind
+
+if TYPE_CHECKING:
+    from badgercart.membership.etcd.client import EtcdSource
+
+LONG_LIST = 1000  # servers
+
+log = logging.getLogger("badgercart")
+
+
+class EtcdPart:
+    """The list from etcd, with its age; SIGHUP takes all of its settings anew."""
+
+    def __init__(self, host: Host, settings: EtcdSettings) -> None:
+        from badgercart.membership.etcd.client import EtcdSource  # heavy: only where it is switched on
+
+        self.roster = host.roster
+        self.source: EtcdSource = EtcdSource(
+            settings,
+            host.reader.read_member,
+            self.take,
+            self.aged,
+            host.join.clock,
+            random.Random(host.config.seed),
+        )
+        host.list_state = lambda: self.source.state.value
+
+    def take(self, told: MemberList) -> None:
+        self.roster.apply(told)
+        if told.kind is ListKind.FULL and len(told.members) >= LONG_LIST:
+            gc.freeze()  # the collector would stop the loop for long to look at all of them again and again
+
+    def aged(self, state: State) -> None:
+        """The age of the list has passed a limit, or is as it should be again."""
+        self.roster.suspend(state is State.STALE and self.source.settings.when_stale == "refuse")
+
+    async def start(self) -> None:
+        self.source.start()
+        if (known := self.source.known()) is not None:
+            try:
+                self.roster.take(known, ListKind.CACHED)
+            except ValueError as error:
+                log.warning("the known list is malformed: %s", error)
+
+    def prepare(self, settings: EtcdSettings) -> Callable[[], None]:
+        return lambda: self.source.move(settings)
+
+    async def drain(self, until: float) -> None:
+        """The list is followed to the end: what is held may still be sent again."""
+
+    def close(self) -> None:
+        self.source.close()
+
+
+def check(settings: EtcdSettings, file: Checked) -> Iterator[tuple[Path, str]]:
+    if (settings.user is None) != (settings.password_file is None):
+        yield ("user",), "user and password_file go together"
+    if settings.doubtful_after_ms > settings.stale_after_ms:
+        yield ("doubtful_after_ms",), "is later than stale_after_ms"
+    if settings.progress_ms >= settings.doubtful_after_ms:
+        yield ("progress_ms",), "leaves no time for an answer before doubtful_after_ms"
+    if settings.tls is not None and (settings.tls.cert is None) != (settings.tls.key is None):
+        yield ("tls", "cert"), "cert and key go together"
+
+
+PARTS = (
+    Declaration(
+        name="etcd",
+        key=("members", "etcd"),
+        kind=Kind.MEMBERS,
+        settings=EtcdSettings,
+        about="the server list from etcd v3, one key an entry under a prefix",
+        build=EtcdPart,
+        check=check,
+        reloads=("*",),
+        extra="etcd",
+        libraries=("grpc", "aetcd"),
+        commands="badgercart.membership.etcd.commands:members",
+    ),
+)
--- a/badgercart/membership/etcd/settings.py
+++ b/badgercart/membership/etcd/settings.py
@@ -1,34 +1,65 @@
-"""What an operator may set of following etcd; `operator.file` has units and checks."""
+"""What an operator may set of following etcd."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from typing import Literal
 
+from pydantic import Field
 
-@dataclass(slots=True, frozen=True)
-class EtcdTls:
-    """PEM files: whom to believe, and this node's own certificate where etcd wants one."""
+from badgercart.operator.model import LONG, Addresses, Name, Table
 
-    ca: str
-    cert: str | None = None
-    key: str | None = None
 
+class EtcdTls(Table):
+    """TLS to etcd, from PEM files that are read with each connection"""
 
-@dataclass(slots=True, frozen=True)
-class EtcdSettings:
-    endpoints: tuple[tuple[str, int], ...]
-    prefix: str = "/badgercart/servers/"
-    user: str | None = None
-    password_file: str | None = None
+    ca: Name = Field(description="the file with the authorities of etcd's certificates")
+    cert: Name | None = Field(None, description="the file with this node's certificate, where etcd wants one")
+    key: Name | None = Field(None, description="the file with its private key")
+
+
+class EtcdSettings(Table):
+    """the server list from etcd v3, one key an entry under a prefix"""
+
+    endpoints: Addresses = Field(description="the host:port of each member; the next is asked when one fails")
+    prefix: Name = Field("/badgercart/servers/", description="what the entries' keys begin with")
+    user: Name | None = Field(None, description="the user, where etcd wants one")
+    password_file: Name | None = Field(
+        None, description="the file that holds the user's password; read with each connection"
+    )
     tls: EtcdTls | None = None
-    page: int = 1000  # entries in one page of the list
-    progress: float = 1000.0  # ms between questions whether the watch is whole
-    silence: float = 2500.0  # ms for an answer to one, after which the connection is given up
-    call: float = 5000.0  # ms for a connection and each page of the list
-    retry_first: float = 50.0  # ms before the next try; doubled with each, with jitter
-    retry_most: float = 2000.0
-    doubtful_after: float = 3000.0
-    stale_after: float = 10000.0
-    when_stale: str = "refuse"  # or "go-on"
-    guard_share: float = 0.5  # a list that is left with less of its servers is held back; 0: never
-    known_file: str | None = None  # the list as this node last had it
+    page: int = Field(1000, ge=1, le=10_000, description="entries in one page of the list")
+    progress_ms: float = Field(
+        1000.0, ge=10, le=LONG, description="the time between questions whether the watch is whole (ms)"
+    )
+    silence_ms: float = Field(
+        2500.0,
+        ge=10,
+        le=LONG,
+        description="the time for an answer to one (ms), after which the connection is given up",
+    )
+    call_ms: float = Field(
+        5000.0, ge=10, le=LONG, description="the time for a connection and for each page (ms)"
+    )
+    retry_first_ms: float = Field(
+        50.0,
+        ge=1,
+        le=LONG,
+        description="the time before the first new try (ms), doubled with each, with jitter",
+    )
+    retry_most_ms: float = Field(2000.0, ge=1, le=LONG, description="the longest time before a new try (ms)")
+    doubtful_after_ms: float = Field(
+        3000.0, ge=10, le=LONG, description="the age from which on the log says so (ms)"
+    )
+    stale_after_ms: float = Field(
+        10000.0, ge=10, le=LONG, description="the age from which on the list is stale (ms)"
+    )
+    when_stale: Literal["refuse", "go-on"] = Field("refuse", description="what happens then")
+    guard_share: float = Field(
+        0.5,
+        ge=0,
+        le=1,
+        description="a list left with less of its servers within a minute is held back; 0 switches it off",
+    )
+    known_file: Name | None = Field(
+        None, description="where the list is kept, every 5 s at most, for a start while etcd is away"
+    )
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 from badgercart.config import Config, ConfigError, reread_discovery
+from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
 from badgercart.core.roster import Roster
+from badgercart.fronts.http.clients import ACCEPT_FOR
 from badgercart.fronts.http.front import HttpFront
 from badgercart.membership.catalog import Discovery
 from badgercart.membership.entries import ListReader
@@ -53,7 +55,7 @@
 
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
-        await self.front.drain()
+        await self.front.drain(now_ms() + ACCEPT_FOR * 1000 + self.config.longest)
         self.close()  # the list is followed to the end: what is held may still be sent again
         log.info("stopped")
 
--- /dev/null
+++ b/badgercart/operator/base.py
@@ -0,0 +1,186 @@
+"""The tables that every installation has: the node, the fleet, sending again, classes and tenants."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+from pydantic import Field
+
+from badgercart.config import Config
+from badgercart.operator.faults import Path
+from badgercart.operator.model import LONG, Listed, Name, Names, Table
+from cottonhall.interface import Effect, Group, RequestClass, Settings
+
+
+class Node(Table):
+    """what this node is"""
+
+    name: Name = Field("badgercart", description="its name in the log")
+    zone: Name | None = Field(None, description="its own zone, one of fleet.zones")
+    seed: Name | None = Field(
+        None, description="the seed of its random numbers, hexadecimal; new if not given"
+    )
+    sockets: int = Field(1024, ge=64, le=1_000_000, description="descriptors that the process may hold")
+    number: int = Field(0, ge=0, le=65535, description="its number among the nodes, from 0")
+    nodes: int = Field(1, ge=1, le=65536, description="how many nodes share the fleet")
+    default_tenant: Name | None = Field(
+        None, description="the tenant that requests without the header count for; none: they are turned away"
+    )
+
+
+class Fleet(Table):
+    """what all servers have in common"""
+
+    zones: Names = Field((), description="the zones' names")
+    kinds: Names = Field((), description="the kinds of machine")
+    cold_from: float = Field(
+        1.0, ge=0.01, le=1, description="the share of its capacity with which a server starts"
+    )
+    ramp_ms: float = Field(0.0, ge=0, le=LONG, description="the time in which a started server is warm (ms)")
+    drain_grace_ms: float = Field(
+        500.0, ge=50, le=LONG, description="the time after which nothing new goes to a draining server (ms)"
+    )
+    warm_keys: bool = Field(
+        False, description="whether a server that met a key lately serves it with less work"
+    )
+    full_may_have_run: bool = Field(
+        False, description="whether 'turned away' is said also of work that had begun"
+    )
+    dial_timeout_ms: float = Field(
+        200.0, ge=1, le=LONG, description="the time for a connection to a server to come up (ms)"
+    )
+    idle_ms: float = Field(
+        15000.0,
+        ge=10,
+        le=LONG,
+        description="the time after which servers close a connection that carries nothing (ms)",
+    )
+
+
+class Retry(Table):
+    """sending again and sending away"""
+
+    max_attempts: int = Field(4, ge=1, le=16, description="attempts for a request at the most")
+    max_retry_after_ms: float = Field(
+        600.0, ge=0, le=LONG, description="the longest time for which a refused client is sent away (ms)"
+    )
+    cancel: bool = Field(True, description="whether attempts that are no longer wanted are given up")
+    over_share_worth: float = Field(
+        0.05, ge=0, le=1, description="the part of its worth left beyond a tenant's share"
+    )
+
+
+class Class(Table):
+    """a class of requests"""
+
+    name: Name = Field(description="the first part of its requests' paths")
+    aim_ms: float = Field(
+        ge=1, le=LONG, description="the time within which an answer has its whole worth (ms)"
+    )
+    deadline_ms: float = Field(ge=1, le=LONG, description="the time after which clients give up (ms)")
+    worth: float = Field(ge=0, le=1e6, description="what one is worth beside the others")
+    effect: Literal["safe", "keyed", "unsafe"] = Field(description="what repeating one does")
+    group: Literal["all", "zone", "cell"] = Field(
+        "all", description="keyed: the servers that drop its repeats"
+    )
+    window_ms: float = Field(
+        0.0, ge=0, le=LONG, description="keyed: the time for which repeats are dropped (ms)"
+    )
+    late_value: float = Field(0.0, ge=0, le=1, description="the part of its worth left after the aim")
+
+
+class Tenant(Table):
+    """a tenant and its share"""
+
+    name: Name = Field(description="the name in the header Tenant")
+    quota_per_s: float = Field(ge=0, le=1e9, description="requests a second over all nodes")
+
+
+class Base(Table):
+    """The root of a file but for its parts' tables, which `file` adds."""
+
+    node: Node = Node()
+    fleet: Fleet = Fleet()
+    retry: Retry = Retry()
+    class_: Annotated[tuple[Class, ...], Listed] = Field(alias="class", description="a class of requests")
+    tenant: Annotated[tuple[Tenant, ...], Listed] = Field((), description="a tenant and its share")
+
+
+def check(base: Base) -> Iterator[tuple[Path, str]]:
+    """What only several settings together can get wrong: where, and what."""
+    names = {"class": [cls.name for cls in base.class_], "tenant": [tenant.name for tenant in base.tenant]}
+    if not base.class_:
+        yield ("class",), "is missing: a class of requests"
+    for table, items in names.items():
+        for at, name in enumerate(items):
+            if name in items[:at]:
+                yield (table, at, "name"), f"{name!r} stands here twice"
+    for at, cls in enumerate(base.class_):
+        if cls.aim_ms > cls.deadline_ms:
+            yield ("class", at, "aim_ms"), "is later than deadline_ms"
+        if cls.effect == "keyed" and not cls.window_ms:
+            yield ("class", at, "effect"), "keyed needs a window_ms above 0"
+        if "/" in cls.name:
+            yield ("class", at, "name"), "holds a slash: it is one part of a path"
+    node = base.node
+    if node.zone is not None and node.zone not in base.fleet.zones:
+        yield ("node", "zone"), f"{node.zone!r} is none of fleet.zones"
+    if node.number >= node.nodes:
+        yield ("node", "number"), "is not below node.nodes"
+    if node.default_tenant is not None and node.default_tenant not in {t.name for t in base.tenant}:
+        yield ("node", "default_tenant"), f"{node.default_tenant!r} is no [[tenant]]"
+    try:
+        int(node.seed or "0", 16)
+    except ValueError:
+        yield ("node", "seed"), "is not hexadecimal"
+
+
+def config_of(base: Base) -> Config:
+    """The configuration that the core and the policy live by."""
+    node, fleet, retry = base.node, base.fleet, base.retry
+    settings = Settings(
+        classes=tuple(
+            RequestClass(
+                aim=cls.aim_ms,
+                deadline=cls.deadline_ms,
+                worth=cls.worth,
+                effect=Effect(cls.effect),
+                group=Group(cls.group),
+                window=cls.window_ms,
+                late_value=cls.late_value,
+            )
+            for cls in base.class_
+        ),
+        zone=fleet.zones.index(node.zone) if node.zone is not None else 0,
+        group_size=node.nodes,
+        me=node.number,
+        quotas=tuple(tenant.quota_per_s for tenant in base.tenant),
+        over_quota_worth=retry.over_share_worth,
+        warm_keys=fleet.warm_keys,
+        may_cancel=retry.cancel,
+        max_attempts=retry.max_attempts,
+        max_retry_after=retry.max_retry_after_ms,
+        full_may_have_run=fleet.full_may_have_run,
+        cold_from=fleet.cold_from,
+        ramp_time=fleet.ramp_ms,
+    )
+    known: dict[str, Any] = {}
+    return Config(
+        name=node.name,
+        listen=("", 0),
+        discovery=("", 0),
+        seed=int(node.seed, 16) if node.seed else secrets.randbits(64),
+        sockets=node.sockets,
+        known=known,
+        settings=settings,
+        classes={cls.name.encode(): i for i, cls in enumerate(base.class_)},
+        tenants={tenant.name.encode(): i for i, tenant in enumerate(base.tenant)},
+        kinds={name: i for i, name in enumerate(fleet.kinds)},
+        zones={name: i for i, name in enumerate(fleet.zones)},
+        dial_timeout=fleet.dial_timeout_ms,
+        idle_timeout=fleet.idle_ms,
+        drain_grace=fleet.drain_grace_ms,
+        default_tenant=node.default_tenant.encode() if node.default_tenant else None,
+    )
--- /dev/null
+++ b/badgercart/operator/render.py
@@ -0,0 +1,221 @@
+"""What the settings' models say, in the forms that people and editors read."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Literal, get_args, get_origin
+
+from annotated_types import Ge, Le
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+from pydantic_core import PydanticUndefined
+
+from badgercart.operator import document
+from badgercart.operator.faults import Path, below, dotted, fields_of, many
+from badgercart.operator.file import describe, root_model
+from badgercart.operator.locate import lines_of
+from badgercart.operator.registry import declarations
+
+SCHEMA = "https://json-schema.org/draft/2020-12/schema"
+
+
+def json_schema() -> dict[str, Any]:
+    """JSON Schema of an operator's file."""
+    return {"$schema": SCHEMA} | root_model(declarations()).model_json_schema(by_alias=True)
+
+
+def effective(path: str, environ: Mapping[str, str]) -> list[tuple[str, Any, str]]:
+    """Each setting in force: its key, its value, and where it came from. Raises FileError."""
+    read = document.read(path, environ)
+    _, root = describe(read)
+    lines = lines_of(read.text)
+    rows = []
+    for place, value in _leaves(root.model_dump(mode="json", by_alias=True), ()):
+        rows.append((dotted(place), value, _origin(place, read, lines)))
+    return rows
+
+
+def _leaves(value: Any, path: Path) -> Iterator[tuple[Path, Any]]:
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _leaves(item, (*path, key))
+    elif isinstance(value, list) and value and isinstance(value[0], dict):
+        for at, item in enumerate(value):
+            yield from _leaves(item, (*path, at))
+    elif value is not None or len(path) > 1:
+        yield path, value
+
+
+def _origin(path: Path, read: document.Document, lines: Mapping[Path, int]) -> str:
+    """A variable, a line or the default. What stands in an inline table has the line of that."""
+    for length in range(len(path), 0, -1):
+        if (variable := read.origins.get(path[:length])) is not None:
+            return variable
+    written: Any = read.raw
+    for part in path:
+        try:
+            written = written[part]
+        except (KeyError, IndexError, TypeError):
+            return "default"
+    for length in range(len(path), 0, -1):
+        if (line := lines.get(path[:length])) is not None:
+            return f"line {line}"
+    return "default"
+
+
+# Values and types, as an operator reads them.
+
+
+def _default(info: FieldInfo) -> Any:
+    value = info.get_default(call_default_factory=True)
+    return None if value is PydanticUndefined else value
+
+
+def _toml(value: Any) -> str:
+    if isinstance(value, tuple) and len(value) == 2 and isinstance(value[1], int):
+        return json.dumps(f"{value[0]}:{value[1]}")
+    if isinstance(value, tuple):
+        return "[" + ", ".join(map(_toml, value)) + "]"
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return json.dumps(value)
+
+
+UNITS = re.compile(r"\((ms|s|bytes)\)")
+SUFFIXES = {"_ms": "ms", "_s": "s", "_bytes": "bytes"}
+
+
+def _kind(name: str, info: FieldInfo) -> str:
+    """A setting's unit, or what kind of value it is."""
+    if (match := UNITS.search(info.description or "")) is not None:
+        return match[1]
+    for suffix, unit in SUFFIXES.items():
+        if name.endswith(suffix):
+            return unit
+    found = _choices(info.annotation)
+    if found:
+        return ", ".join(f"`{choice}`" for choice in found)
+    types = str(info.annotation) + str(info.metadata)
+    if "host:port" in (info.description or ""):
+        return "host:port"
+    for word, kind in (("bool", "flag"), ("tuple", "list"), ("int", "count"), ("float", "number")):
+        if word in types:
+            return kind
+    return "text"
+
+
+def _choices(annotation: Any) -> list[str]:
+    if get_origin(annotation) is Literal:
+        return [str(choice) for choice in get_args(annotation)]
+    return []
+
+
+def _range(info: FieldInfo) -> str:
+    low = [item.ge for item in info.metadata if isinstance(item, Ge)]
+    high = [item.le for item in info.metadata if isinstance(item, Le)]
+    if not low or not high:
+        return ""
+    return f"{_number(low[0])} to {_number(high[0])}"
+
+
+def _number(value: Any) -> str:
+    return str(int(value)) if float(value).is_integer() and abs(value) < 1e9 else f"{value:g}"
+
+
+def settings_table(model: type[BaseModel]) -> str:
+    """The settings of a model and of the tables below it, as a table of Markdown."""
+    rows = ["| key | unit or kind | default | range | |", "| --- | --- | --- | --- | --- |"]
+    rows += _table_rows(model, "")
+    return "\n".join(rows)
+
+
+def _table_rows(model: type[BaseModel], ahead: str) -> Iterator[str]:
+    inner = []
+    for name, info in fields_of(model).items():
+        lower = below(info.annotation)
+        if lower is not None:
+            inner.append((f"{ahead}{name}.", lower))
+            continue
+        value = _default(info)
+        shown = "required" if info.is_required() else "none" if value is None else f"`{_toml(value)}`"
+        cells = (f"`{ahead}{name}`", _kind(name, info), shown, _range(info), info.description or "")
+        yield "| " + " | ".join(cells) + " |"
+    for deeper, lower in inner:
+        yield from _table_rows(lower, deeper)
+
+
+def default_table(name: str) -> str:
+    """A commented table with every default. LookupError where there is none of this name."""
+    for header, model, several in _tables():
+        if name in (header, header.rpartition(".")[2]):
+            return "\n".join(_default_lines(header, model, several))
+    known = ", ".join(header.rpartition(".")[2] for header, _, _ in _tables())
+    raise LookupError(f"there is no table {name!r}; there are {known}")
+
+
+def _tables() -> Iterator[tuple[str, type[BaseModel], bool]]:
+    """Every table that an operator may begin from: its header, its model, whether it is an array."""
+    root = root_model(declarations())
+    parts = {".".join(part.key) for part in declarations()}
+    groups = {key.partition(".")[0] for key in parts if "." in key}
+    for name, info in fields_of(root).items():
+        model = below(info.annotation)
+        assert model is not None
+        if name not in groups:
+            yield name, model, many(info.annotation)
+            continue
+        for key, inner in fields_of(model).items():
+            if (lower := below(inner.annotation)) is not None:
+                yield f"{name}.{key}", lower, many(inner.annotation)
+
+
+def _default_lines(header: str, model: type[BaseModel], several: bool) -> Iterator[str]:
+    yield f"[[{header}]]" if several else f"[{header}]"
+    if model.__doc__:
+        yield f"# {model.__doc__.strip()}"
+    inner = []
+    for name, info in fields_of(model).items():
+        lower = below(info.annotation)
+        if lower is not None:
+            inner.append((name, lower, many(info.annotation)))
+            continue
+        limits = _range(info)
+        yield f"# {info.description or name}{f' [{limits}]' if limits else ''}"
+        value = _default(info)
+        if info.is_required():
+            yield f"# {name} = …  # required"
+        elif value is None:
+            yield f"# {name} = …"
+        else:
+            yield f"{name} = {_toml(value)}"
+    for name, lower, array in inner:
+        yield ""
+        yield from _default_lines(f"{header}.{name}", lower, array)
+
+
+# The operators' pages.
+
+
+def _settings(name: str) -> str:
+    for header, model, _ in _tables():
+        if header == name:
+            return settings_table(model)
+    raise LookupError(f"there is no table {name!r}")
+
+
+MADE: dict[str, Callable[[str], str]] = {"settings": _settings}
+MARK = re.compile(r"<!-- (\w+): ([\w., ]+) -->\n.*?<!-- end -->", re.DOTALL)
+
+
+def page(text: str) -> str:
+    """A page with its tables made anew between their marks. LookupError names a mark that means nothing."""
+
+    def fresh(match: re.Match[str]) -> str:
+        kind, name = match[1], match[2]
+        if kind not in MADE:
+            raise LookupError(f"the mark {kind!r} is none of {', '.join(MADE)}")
+        return f"<!-- {kind}: {name} -->\n{MADE[kind](name)}\n<!-- end -->"
+
+    return MARK.sub(fresh, text)
--- /dev/null
+++ b/badgercart/operator/site.py
@@ -0,0 +1,164 @@
+"""One running installation: a join and the parts on it, started, reloaded, drained and closed in order."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from badgercart.core.clock import now_ms
+from badgercart.core.join import Join
+from badgercart.core.roster import Roster
+from badgercart.membership.entries import ListReader
+from badgercart.operator.base import Base
+from badgercart.operator.faults import Path, dotted
+from badgercart.operator.file import Installation
+from badgercart.operator.part import Declaration, Host, Part, ReloadError, in_order
+from cottonhall.interface import State
+
+ACCEPT_FOR = 600.0  # ms after SIGTERM during which clients may still come
+GRACE = 300.0  # ms beyond the deadline of a drain, after which a part that hangs is closed as it stands
+
+log = logging.getLogger("badgercart")
+
+
+class PartError(Exception):
+    """A part that does not start: its name, and why."""
+
+    def __init__(self, name: str, cause: BaseException) -> None:
+        super().__init__(f"{name} does not start: {cause or type(cause).__name__}")
+        self.name = name
+
+
+class Site:
+    """All parts of one installation. It knows none of them by name."""
+
+    def __init__(self, what: Installation, loop: asyncio.AbstractEventLoop) -> None:
+        """Raises PartError."""
+        config = what.config
+        self.what = what
+        self.join = Join(config.settings, config.seed, loop)
+        reader = ListReader(config)
+        self.roster = Roster(reader, self.join)
+        declared = what.declared()
+        holders = sum(part.sockets for part in declared)
+        self.host = Host(config, self.join, self.roster, reader, loop, what.folder, 1 / max(1, holders))
+        self.host.pages[b"/_members"] = self.members_page
+        self.steps = in_order(declared)
+        self.parts: dict[str, Part] = {}
+        for part in (part for step in self.steps for part in step):
+            try:
+                self.parts[part.name] = part.build(self.host, what.parts[part.name])
+            except Exception as error:
+                self.close()
+                raise PartError(part.name, error) from error
+
+    def members_page(self) -> bytes:
+        """What this node believes of the list, for `members list --from-node`."""
+        names = {State.READY: "active", State.DRAINING: "leaving"}
+        lines = [
+            {"instanceId": m.name, "hostPort": m.endpoint, "lifecycle": names[m.entry.state]}
+            for m in self.roster.listed.values()
+        ]
+        told = {"generation": self.roster.version, "state": self.host.list_state(), "instances": lines}
+        return json.dumps(told).encode()
+
+    async def start(self) -> None:
+        """Start the parts in order. Raises PartError; what was started is closed again, also if cancelled."""
+        try:
+            for part in (part for step in self.steps for part in step):
+                try:
+                    await self.parts[part.name].start()
+                except Exception as error:
+                    raise PartError(part.name, error) from error
+        except BaseException:
+            self.close()
+            raise
+
+    def reload(self, fresh: Installation) -> list[str]:
+        """Put new settings in force, of all parts or, if one of them can't take its own, of none.
+
+        None, because a file that is half in force is one that nobody wrote. Gives what is wrong; empty: done.
+        What takes a restart is logged and passed over."""
+        commits: list[Callable[[], None]] = []
+        faults = []
+        for name, part in self.parts.items():
+            if name in fresh.parts:
+                try:
+                    commit = part.prepare(fresh.parts[name])
+                except ReloadError as error:
+                    faults.append(f"{name}: {error}")
+                else:
+                    if commit is not None:
+                        commits.append(commit)
+        if not faults:
+            for commit in commits:
+                commit()
+            if restart := list(self.needs_restart(fresh)):
+                log.warning("takes a restart, and stays as it was: %s", ", ".join(restart))
+            self.remember(fresh)
+        return faults
+
+    def needs_restart(self, fresh: Installation) -> Iterator[str]:
+        """Settings that differ from those in force and that SIGHUP does not change."""
+        old = self.what
+        if old.base is not None and fresh.base is not None:
+            for name in Base.model_fields:  # those that are no part's
+                yield from differing(getattr(old.base, name), getattr(fresh.base, name), (name.rstrip("_"),))
+        for part in self.what.known:
+            was, now = old.parts.get(part.name), fresh.parts.get(part.name)
+            if (was is None) != (now is None):
+                yield dotted(part.key)
+            elif part.reloads != ("*",):
+                for name in differing(was, now, part.key):
+                    if not any(name == dotted((*part.key, key)) for key in part.reloads):
+                        yield name
+
+    def remember(self, fresh: Installation) -> None:
+        """What is in force now: of what takes a restart, the old."""
+        for part in self.what.declared():
+            if part.reloads and part.name in fresh.parts:
+                self.what.parts[part.name] = fresh.parts[part.name]
+
+    async def drain(self) -> None:
+        """Answer all that is held, on every part, then end. One deadline holds for all of them."""
+        until = now_ms() + ACCEPT_FOR + self.what.config.longest
+        for step in reversed(self.steps):
+            await self.drain_step(step, until)
+        self.close()
+        log.info("stopped")
+
+    async def drain_step(self, step: list[Declaration], until: float) -> None:
+        tasks = {asyncio.ensure_future(self.parts[part.name].drain(until)): part.name for part in step}
+        patience = max(0.0, until + GRACE - now_ms()) / 1000
+        done, hanging = await asyncio.wait(tasks, timeout=patience)
+        for task in done:
+            if (error := task.exception()) is not None:
+                log.error("%s failed as it drained", tasks[task], exc_info=error)
+        for task in hanging:
+            log.error("%s did not drain in time and is closed as it stands", tasks[task])
+            task.cancel()
+        if hanging:
+            await asyncio.wait(hanging, timeout=GRACE / 1000)
+
+    def close(self) -> None:
+        """Let go of all parts, the last started first; one that fails does not keep the others open."""
+        for name, part in reversed(self.parts.items()):
+            try:
+                part.close()
+            except Exception:
+                log.exception("%s failed as it closed", name)
+
+
+def differing(old: Any, new: Any, path: Path) -> Iterator[str]:
+    """The settings that two models differ in, as people write them."""
+    if old == new:
+        return
+    fields = getattr(type(old), "model_fields", None)
+    if fields is None or type(old) is not type(new):
+        yield dotted(path)
+        return
+    for name, info in fields.items():
+        yield from differing(getattr(old, name), getattr(new, name), (*path, info.alias or name))
--- a/benchmarks/etcd.py
+++ b/benchmarks/etcd.py
@@ -124,7 +124,7 @@
             return reader.read_member(raw)
 
         self.pending: list[float] = []
-        settings = EtcdSettings((("127.0.0.1", port),), guard_share=0.0)
+        settings = EtcdSettings(endpoints=(("127.0.0.1", port),), guard_share=0.0)
         self.source = EtcdSource(settings, read, self.took, lambda state: None, now_ms, random.Random(1))
 
     def took(self, told: MemberList) -> None:
@@ -214,7 +214,9 @@
 
     follower = Follower(1)
     machine = Machine(
-        EtcdSettings((("", 1),), guard_share=0.0), ListReader(config(1)).read_member, random.Random(1)
+        EtcdSettings(endpoints=(("127.0.0.1", 1),), guard_share=0.0),
+        ListReader(config(1)).read_member,
+        random.Random(1),
     )
     machine.begin()
     pairs = [Pair(key(n), entry(n), 1) for n in range(entries)]
--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -26,9 +26,12 @@
 
 from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
+from badgercart.fronts.processor.part import ProcessorPart
 from badgercart.membership.entries import ListReader
+from badgercart.membership.part import Server as Listed
 from badgercart.operator.file import Installation, load
-from badgercart.operator.run import Site, run
+from badgercart.operator.run import run
+from badgercart.operator.site import Site
 from standins.fleet import operators_file
 from standins.scripted_proxy import (
     DESTINATION,
@@ -42,20 +45,17 @@
 FLEETS = (10, 30, 100, 300, 1000)
 
 
-def entries(count: int) -> list[dict[str, Any]]:
-    return [
-        {
-            "instanceId": f"s-{number}",
-            "hostPort": f"127.0.{number // 250}.{number % 250 + 1}:7000",
-            "zone": "angyalfold",
-            "machineType": "k2-fast",
-            "cell": 0,
-            "lifecycle": "active",
-            "weight": 2.0,
-            "startedAtMs": 0,
-        }
+def listed(count: int) -> tuple[Listed, ...]:
+    return tuple(
+        Listed(
+            name=f"s-{number}",
+            address=(f"127.0.{number // 250}.{number % 250 + 1}", 7000),
+            zone="angyalfold",
+            kind="k2-fast",
+            weight=2.0,
+        )
         for number in range(count)
-    ]
+    )
 
 
 def installation(servers: int) -> Installation:
@@ -63,7 +63,7 @@
         file.write(operators_file("127.0.0.1:1", max_streams=20000, max_connection_streams=20000))
         file.flush()
         what = load(file.name)
-    return Installation(what.config, None, what.processor, None, None, None, entries(servers))
+    return Installation(what.config, what.parts | {"server": listed(servers)}, known=what.known)
 
 
 # The servers, each in a process of its own.
@@ -93,8 +93,9 @@
     """What `serve` starts."""
 
     def started(site: Site) -> None:
-        assert site.processor is not None
-        print(site.processor.address[1], flush=True)
+        part = site.parts["processor"]
+        assert isinstance(part, ProcessorPart)
+        print(part.front.address[1], flush=True)
 
     await run("", installation(servers), started)
 
@@ -273,7 +274,9 @@
         what = installation(count)
         join = Join(what.config.settings, 1, NoTimers())
         roster = Roster(ListReader(what.config), join)
-        roster.take({"generation": 1, "reset": True, "instances": what.servers})
+        roster.take(
+            {"generation": 1, "reset": True, "instances": [server.line() for server in listed(count)]}
+        )
         nobody = Nobody()
         best = float("inf")
         for _ in range(5):
--- a/tests/etcd/test_faults.py
+++ b/tests/etcd/test_faults.py
@@ -18,7 +18,7 @@
 from badgercart.core.ports import Answer, Intake, Order
 from badgercart.membership.freshness import State
 from badgercart.operator.file import Installation
-from badgercart.operator.run import Site
+from badgercart.operator.site import Site
 from cottonhall.interface import Result
 from standins.etcd import Etcd
 from tests.etcd.test_following import PREFIX
@@ -48,12 +48,11 @@
 
     def send(self, order: Order) -> None:
         self.sends += 1
-        roster, source, now = self.site.roster, self.site.etcd, self.join.clock()
-        assert source is not None
+        roster, source, now = self.site.roster, self.site.parts["etcd"].source, self.join.clock()
         if source.state is State.STALE:
             self.faults.append("sent by a stale list")
         # The state is told by a timer; what the ages say at this very moment must agree with it.
-        if source.freshness.age(now) > source.settings.stale_after + 100.0:
+        if source.freshness.age(now) > source.settings.stale_after_ms + 100.0:
             self.faults.append("the list is older than its state says")
         told = roster.leaving.get(order.server_id)
         if told is not None and now - told > GRACE:
@@ -149,9 +148,8 @@
     for name in ("s0", "s1", "s2"):
         line = {"instanceId": name, "hostPort": "127.0.0.1:9", "lifecycle": "active"}
         await etcd.put(PREFIX + name, json.dumps(line))
-    what = Installation(
-        config(1), None, None, None, None, etcd_settings(etcd, guard_share=0.0, stale_after=400.0, page=2), []
-    )
+    chosen = etcd_settings(etcd, guard_share=0.0, stale_after_ms=400.0, page=2)
+    what = Installation(config(1), {"etcd": chosen})
     site = Site(what, asyncio.get_running_loop())
     await site.start()
     traffic, story = Traffic(site), Story(etcd, seed)
@@ -168,7 +166,11 @@
             await asyncio.sleep(0.01)
         await story.mend()
         async with asyncio.timeout(WAIT):
-            while site.etcd is None or site.etcd.state is not State.FRESH or listed(site) != held(etcd):
+            while (
+                site.parts["etcd"].source is None
+                or site.parts["etcd"].source.state is not State.FRESH
+                or listed(site) != held(etcd)
+            ):
                 await asyncio.sleep(0.005)
     except TimeoutError:
         raise AssertionError(f"{listed(site)} is not {held(etcd)}") from None
--- a/tests/etcd/test_follower.py
+++ b/tests/etcd/test_follower.py
@@ -230,7 +230,7 @@
 
 
 def test_waits_grow_with_jitter_and_are_bounded() -> None:
-    made = follower(retry_first=50.0, retry_most=1000.0)
+    made = follower(retry_first_ms=50.0, retry_most_ms=1000.0)
     waits = []
     for _ in range(20):
         made.begin()
--- a/tests/etcd/test_following.py
+++ b/tests/etcd/test_following.py
@@ -8,7 +8,6 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,13 +15,14 @@
 import pytest
 from aetcd.rpc import rpc_pb2
 
-from badgercart.cli import main as command_line
 from badgercart.core.names import stable_id
+from badgercart.fronts.http.part import HttpSettings
 from badgercart.membership.etcd import client
 from badgercart.membership.etcd.settings import EtcdSettings, EtcdTls
 from badgercart.membership.freshness import State
+from badgercart.operator.cli import main as command_line
 from badgercart.operator.file import Installation
-from badgercart.operator.run import Site
+from badgercart.operator.site import Site
 from cottonhall.interface import State as ServerState
 from standins.demo import NodeProcess
 from standins.etcd import Etcd
@@ -32,8 +32,8 @@
 
 PREFIX = "/badgercart/servers/"
 QUICK = {
-    "progress": 20.0, "silence": 150.0, "call": 1000.0, "retry_first": 5.0, "retry_most": 40.0,
-    "doubtful_after": 200.0, "stale_after": 600.0,
+    "progress_ms": 20.0, "silence_ms": 150.0, "call_ms": 1000.0, "retry_first_ms": 5.0,
+    "retry_most_ms": 40.0, "doubtful_after_ms": 200.0, "stale_after_ms": 600.0,
 }  # fmt: skip
 
 
@@ -46,8 +46,7 @@
     """A running site and what it believes."""
 
     def __init__(self, site: Site) -> None:
-        assert site.etcd is not None and site.http is not None
-        self.site, self.source, self.http = site, site.etcd, site.http
+        self.site, self.source, self.http = site, site.parts["etcd"].source, site.parts["http"].front
 
     def listed(self) -> dict[str, str]:
         return {m.name: m.entry.state.name.lower() for m in self.site.roster.listed.values()}
@@ -81,12 +80,14 @@
 
 def settings(*etcds: Etcd, **changes: Any) -> EtcdSettings:
     endpoints = tuple(("127.0.0.1", etcd.port) for etcd in etcds)
-    return EtcdSettings(endpoints, **QUICK | changes)
+    # Unchecked: the times of tests are shorter than any that may stand in a file.
+    return EtcdSettings.model_construct(endpoints=endpoints, **QUICK | changes)
 
 
 @asynccontextmanager
 async def following(*etcds: Etcd, **changes: Any) -> AsyncIterator[Following]:
-    what = Installation(config(1), ("127.0.0.1", 0), None, None, None, settings(*etcds, **changes), [])
+    http = HttpSettings(listen=("127.0.0.1", 0))
+    what = Installation(config(1), {"http": http, "etcd": settings(*etcds, **changes)})
     site = Site(what, asyncio.get_running_loop())
     await site.start()
     try:
@@ -323,9 +324,9 @@
         etcd = await Etcd().start(credentials=credentials)
         await etcd.put(PREFIX + "a", entry("a"))
         files = [str(tmp_path / name) for name in ("ca.pem", "node.pem", "node.key")]
-        async with following(etcd, tls=EtcdTls(*files)) as node:
+        async with following(etcd, tls=EtcdTls(ca=files[0], cert=files[1], key=files[2])) as node:
             await node.lists(a="ready")
-        async with following(etcd, tls=EtcdTls(files[0])) as node:
+        async with following(etcd, tls=EtcdTls(ca=files[0])) as node:
             await node.until(lambda: node.source.failing)
             assert node.listed() == {}
         await etcd.stop()
@@ -443,7 +444,8 @@
             await second.put(PREFIX + "b", entry("b"))
             async with following(first, guard_share=0.0) as node:
                 await node.lists(a="ready")
-                node.source.move(replace(node.source.settings, endpoints=(("127.0.0.1", second.port),)))
+                elsewhere = {"endpoints": (("127.0.0.1", second.port),)}
+                node.source.move(node.source.settings.model_copy(update=elsewhere))
                 await node.lists(b="ready")
 
     run(test())
@@ -454,16 +456,16 @@
         peer = await Peer().start()
         async with members() as (etcd,):
             await etcd.put(PREFIX + "a", entry("a", peer))
-            async with following(etcd, stale_after=1e9, doubtful_after=1e9) as node:
+            async with following(etcd, stale_after_ms=1e9, doubtful_after_ms=1e9) as node:
                 await node.state(State.FRESH)
                 await etcd.stop()
-                shorter = replace(
-                    node.source.settings, stale_after=300.0, doubtful_after=200.0, guard_share=0.1
+                shorter = node.source.settings.model_copy(
+                    update={"stale_after_ms": 300.0, "doubtful_after_ms": 200.0, "guard_share": 0.1}
                 )
                 node.source.move(shorter)
                 await node.state(State.STALE)
                 assert await node.ask() == 503 and node.source.follower.guard.share == 0.1
-                node.source.move(replace(shorter, when_stale="go-on"))
+                node.source.move(shorter.model_copy(update={"when_stale": "go-on"}))
                 assert await node.ask() == 200
                 await etcd.start(etcd.port)
 
--- a/tests/graphql/test_front.py
+++ b/tests/graphql/test_front.py
@@ -15,19 +15,19 @@
 import pytest
 
 from badgercart.fronts.graphql.documents import Cache
-from badgercart.fronts.graphql.settings import FieldMap, GraphqlSettings
+from badgercart.fronts.graphql.settings import GraphqlSettings
 from badgercart.operator.file import Installation
-from badgercart.operator.run import Site
+from badgercart.operator.site import Site
 from cottonhall.interface import Effect, Outcome, Request, RequestClass, Result, Withdrawn
 from standins import graphql as dispatch
 from standins import http1
-from tests.net import WAIT, Client, Peer, config, field, hang_up, run, stay_silent
+from tests.net import WAIT, Client, Peer, config, field, hang_up, listed, run, stay_silent
 from tests.processors import Recorder
 
-FIELDS = {
-    "Query.cabLookup": FieldMap("cab-lookup", affinity="pickup"),
-    "Mutation.rideAssign": FieldMap("ride-assign", affinity="ride", key="key"),
-}
+FIELDS = [
+    {"name": "Query.cabLookup", "class": "cab-lookup", "affinity": "pickup"},
+    {"name": "Mutation.rideAssign", "class": "ride-assign", "affinity": "ride", "key": "key"},
+]
 CLASSES = (
     RequestClass(aim=5000.0, deadline=9000.0, worth=2.0, effect=Effect.SAFE),
     RequestClass(aim=5000.0, deadline=9000.0, worth=8.0, effect=Effect.KEYED, window=20000.0),
@@ -72,8 +72,7 @@
 
     def __init__(self, site: Site) -> None:
         super().__init__(site.join)
-        assert site.graphql is not None
-        self.site, self.front = site, site.graphql
+        self.site, self.front = site, site.parts["graphql"].front
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.front.listener.address))
@@ -102,15 +101,14 @@
 async def desk(*servers: Peer, attempts: int = 1, **changes: Any) -> AsyncIterator[Desk]:
     base = config(1, attempts=attempts)
     names = {b"cab-lookup": 0, b"ride-assign": 1}
-    settings = GraphqlSettings(("127.0.0.1", 0), str(dispatch.SCHEMA_FILE), fields=FIELDS)
     what = Installation(
         config=replace(base, settings=replace(base.settings, classes=CLASSES), classes=names),
-        http=None,
-        processor=None,
-        graphql=replace(settings, **changes),
-        catalog=None,
-        etcd=None,
-        servers=[server.entry(f"s-{number}") for number, server in enumerate(servers, 1)],
+        parts={
+            "graphql": GraphqlSettings.model_validate(
+                {"listen": "127.0.0.1:0", "schema": str(dispatch.SCHEMA_FILE), "field": FIELDS} | changes
+            ),
+            "server": tuple(listed(server.entry(f"s-{n}")) for n, server in enumerate(servers, 1)),
+        },
     )
     site = Site(what, asyncio.get_running_loop())
     await site.start()
--- a/tests/graphql/test_mapping.py
+++ b/tests/graphql/test_mapping.py
@@ -19,7 +19,7 @@
     path = tmp_path / "site.toml"
     path.write_text(text(str(SCHEMA_FILE)))
     what = load(str(path))
-    assert what.graphql is not None and what.graphql.fields["Mutation.rideAssign"].key == "key"
+    assert what.parts["graphql"].by_field["Mutation.rideAssign"].key == "key"
 
 
 LOOKUP, ASSIGN = '"Query.cabLookup"\nclass = ', '"Mutation.rideAssign"\nclass = '
--- a/tests/graphql/test_planner.py
+++ b/tests/graphql/test_planner.py
@@ -44,13 +44,16 @@
 union Thing = Cab | Ride
 """
 FIELDS = {
-    "Query.cab": FieldMap("cab-lookup", affinity="id"),
-    "Query.cabs": FieldMap("cab-lookup", affinity="near"),
-    "Query.ride": FieldMap("ride-lookup", affinity="id"),
-    "Query.things": FieldMap("cab-lookup"),
-    "Query.count": FieldMap("cab-lookup"),
-    "Mutation.assign": FieldMap("ride-assign", affinity="ride", key="key"),
-    "Mutation.cancel": FieldMap("ride-assign", affinity="ride"),
+    name: FieldMap.model_validate({"name": name, "class": cls, "affinity": affinity, "key": key})
+    for name, cls, affinity, key in (
+        ("Query.cab", "cab-lookup", "id", None),
+        ("Query.cabs", "cab-lookup", "near", None),
+        ("Query.ride", "ride-lookup", "id", None),
+        ("Query.things", "cab-lookup", None, None),
+        ("Query.count", "cab-lookup", None, None),
+        ("Mutation.assign", "ride-assign", "ride", "key"),
+        ("Mutation.cancel", "ride-assign", "ride", None),
+    )
 }
 # Of each type: its fields, the arguments as they may be written, and the type below.
 SHAPE: dict[str, dict[str, tuple[tuple[str, ...], str]]] = {
--- a/tests/net.py
+++ b/tests/net.py
@@ -15,6 +15,7 @@
 from badgercart.core.names import stable_id
 from badgercart.core.ports import Order
 from badgercart.fronts.http.clients import ClientConnection
+from badgercart.membership.part import Server
 from badgercart.node import Node
 from cottonhall.interface import Effect, Outcome, RequestClass, Settings
 
@@ -262,6 +263,13 @@
         return Client(*await asyncio.open_connection(*self.node.listener.address))
 
 
+def listed(line: dict[str, Any]) -> Server:
+    """A line of the platform's list as an operator's file has it."""
+    wanted = {"name": line["instanceId"], "address": line["hostPort"], "weight": float(line["weight"])}
+    places = {"zone": line["zone"] or None, "kind": line["machineType"] or None, "cell": line["cell"]}
+    return Server.model_validate(wanted | places)
+
+
 @asynccontextmanager
 async def running(*peers: Peer, **changes: Any) -> AsyncIterator[Stand]:
     """A node that knows these servers as s-1, s-2 and so on."""
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -57,8 +57,9 @@
     assert [cls.effect for cls in what.config.settings.classes] == [Effect.SAFE, Effect.KEYED]
     assert what.config.settings.classes[1].group is Group.ZONE
     assert what.config.classes == {b"find": 0, b"book": 1}
-    assert what.http == ("127.0.0.1", 0) and what.processor is None and what.catalog is None
-    assert what.servers[0]["hostPort"] == "127.0.0.1:7001"
+    assert what.parts.keys() == {"http", "server"}
+    assert what.parts["http"].listen == ("127.0.0.1", 0)
+    assert what.parts["server"][0].line()["hostPort"] == "127.0.0.1:7001"
 
 
 @pytest.mark.parametrize("path", sorted(ROOT.glob("deploy/*.toml")), ids=lambda path: path.name)
--- a/tests/processor/test_account.py
+++ b/tests/processor/test_account.py
@@ -5,7 +5,7 @@
 from badgercart.fronts.processor.account import MAX_PROXIES, Account, Standing
 from badgercart.fronts.processor.settings import OldAnswers
 
-RULE = OldAnswers(window=1000.0, no_fallbacks_after=3, refuse_after=5, refuse_for=200.0)
+RULE = OldAnswers(window_ms=1000.0, no_fallbacks_after=3, refuse_after=5, refuse_for_ms=200.0)
 
 
 def test_fallbacks_go_first_then_answers_and_both_come_back() -> None:
--- a/tests/processor/test_description.py
+++ b/tests/processor/test_description.py
@@ -22,7 +22,7 @@
 
 def read(pairs: list[tuple[bytes, bytes]], **changes: object) -> Described:
     names = HeaderNames(**changes)  # type: ignore[arg-type]
-    describer = Describer(config(1), ProcessorSettings(("", 0), headers=names))
+    describer = Describer(config(1), ProcessorSettings(listen=("", 0), headers=names))
     wanted = [(name.decode().lower(), value) for name, value in pairs]
     return describer.read([pair for pair in wanted if pair[0] in describer.wanted], len(pairs))
 
--- a/tests/processor/test_drains.py
+++ b/tests/processor/test_drains.py
@@ -42,7 +42,7 @@
 
 def test_a_proxy_that_keeps_to_the_age_sends_nothing_after_the_grace() -> None:
     async def test() -> None:
-        async with site_with_processor(fallbacks=0, answer_age=100.0) as bench:
+        async with site_with_processor(fallbacks=0, answer_age_ms=100.0) as bench:
             first, second = await two_servers(bench)
             # 40 at once on the server that is left may be more than its need: the cut is another matter here,
             # and it follows the machine's pace.
@@ -75,9 +75,9 @@
 
 def test_a_proxy_that_holds_old_answers_is_found_out_and_refused() -> None:
     async def test() -> None:
-        rule = OldAnswers(no_fallbacks_after=2, refuse_after=4, refuse_for=60000.0)
+        rule = OldAnswers(no_fallbacks_after=2, refuse_after=4, refuse_for_ms=60000.0)
         async with site_with_processor(
-            fallbacks=1, old_answers=rule, drain_grace=50.0, answer_age=50.0
+            fallbacks=1, old_answers=rule, grace=50.0, answer_age_ms=50.0
         ) as bench:
             first, _ = await two_servers(bench)
             proxy = await Proxy(bench.address).start()
--- a/tests/processor/test_failures.py
+++ b/tests/processor/test_failures.py
@@ -20,7 +20,7 @@
 from cryptography.x509.oid import NameOID
 
 from badgercart.fronts.processor import server as processor_server
-from badgercart.fronts.processor.ask import ask, table
+from badgercart.fronts.processor.ask import ask
 from badgercart.fronts.processor.server import TlsError, read_tls
 from badgercart.fronts.processor.settings import Tls
 from cottonhall.interface import Outcome, Request, RequestClass, Result
@@ -109,7 +109,7 @@
 
 def test_a_message_over_the_limit_ends_its_stream_alone() -> None:
     async def test() -> None:
-        async with site_with_processor(max_message=2048) as bench, bench.proxy() as proxy:
+        async with site_with_processor(max_message_bytes=2048) as bench, bench.proxy() as proxy:
             stream = proxy.stream()
             await stream.call.write(request_message(described(x_long="y" * 4096)))
             assert await stream.status() == "resource_exhausted"
@@ -123,7 +123,7 @@
     monkeypatch.setattr(processor_server, "SWEEP", 0.01)
 
     async def test() -> None:
-        async with site_with_processor(first_message=10.0) as bench, bench.proxy() as proxy:
+        async with site_with_processor(first_message_ms=10.0) as bench, bench.proxy() as proxy:
             stream = proxy.stream()
             await stream.call.wait_for_connection()
             assert await stream.status() == "deadline_exceeded"
@@ -150,7 +150,7 @@
 
 def test_an_attempt_without_an_end_times_out_and_its_late_response_is_let_through() -> None:
     async def test() -> None:
-        async with site_with_processor(late=1.0, classes=QUICK) as bench, bench.proxy() as proxy:
+        async with site_with_processor(late_ms=1.0, classes=QUICK) as bench, bench.proxy() as proxy:
             quiet, late = proxy.stream(), proxy.stream()
             await quiet.ask(described("pay", timeout="8000m"))
             await late.ask(described("pay", timeout="8000m"))
@@ -196,7 +196,7 @@
             await stream.ask(described())
             told = await asyncio.to_thread(ask, bench.address, None, None, None)
             assert told["open"] == 1 and told["proxies"]["north"]["unseen"] == 1
-            assert table(told).splitlines()[1].startswith("north  good")
+            assert told["proxies"]["north"]["standing"] == "good"
 
     run(test())
 
@@ -321,7 +321,11 @@
     (tmp_path / "ca.pem").write_bytes(pem(ca[1]))
     north = written(tmp_path, "north", ca)
     stranger = written(tmp_path, "stranger", other_ca)
-    tls = Tls(str(tmp_path / "server.pem"), str(tmp_path / "server.key"), str(tmp_path / "ca.pem"))
+    tls = Tls(
+        cert=str(tmp_path / "server.pem"),
+        key=str(tmp_path / "server.key"),
+        client_ca=str(tmp_path / "ca.pem"),
+    )
 
     async def asked(bench: Any, roots: bytes, own: tuple[bytes, bytes] | None) -> str:
         """The endpoint told, or how the call failed."""
@@ -345,11 +349,11 @@
             # A new authority on both sides, and half of a file in between.
             key = (tmp_path / "server.key").read_bytes()
             (tmp_path / "server.key").write_bytes(key[:40])
-            bench.processor.reload()
+            assert bench.site.reload(bench.site.what)[0].startswith("processor: the certificate: ")
             assert await asked(bench, pem(ca[1]), north) == SERVERS[0]
             written(tmp_path, "server", other_ca)
             (tmp_path / "ca.pem").write_bytes(pem(other_ca[1]))
-            bench.processor.reload()
+            assert bench.site.reload(bench.site.what) == []
             assert await asked(bench, pem(other_ca[1]), stranger) == SERVERS[0]
             assert await asked(bench, pem(other_ca[1]), north) == "UNAVAILABLE"
 
@@ -361,8 +365,8 @@
     written(tmp_path, "server", ca)
     cert, key = str(tmp_path / "server.pem"), str(tmp_path / "server.key")
     for tls, words in (
-        (Tls("/none.pem", key), "/none.pem"),
-        (Tls(key, cert), "server.key: holds no whole PEM"),
+        (Tls(cert="/none.pem", key=key), "/none.pem"),
+        (Tls(cert=key, key=cert), "server.key: holds no whole PEM"),
     ):
         with pytest.raises(TlsError, match=words):
             read_tls(tls)
@@ -392,7 +396,8 @@
 
 
 def test_the_platforms_node_imports_nothing_of_it() -> None:
-    heavy = "{'grpc', 'envoy', 'google', 'argparse', 'tomllib'}"
+    heavy = {"grpc", "envoy", "google", "tomllib", "pydantic", "click", "rich", "structlog"}
+    heavy |= {"prometheus_client", "tree_sitter", "graphql", "argparse"}
     code = f"import badgercart.__main__, sys; print(*{heavy} & set(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.split() == []
--- a/tests/processor/test_interleavings.py
+++ b/tests/processor/test_interleavings.py
@@ -69,12 +69,12 @@
         self.clockwork = Clockwork()
         later = self.random.random() < 0.6
         settings = ProcessorSettings(
-            ("", 0),
+            listen=("", 0),
             fallbacks=self.random.randrange(3),
             later_attempts=later,
-            later_wait=80.0,
+            later_wait_ms=80.0,
             max_finals=64,
-            old_answers=OldAnswers(refuse_after=4, refuse_for=200.0),
+            old_answers=OldAnswers(refuse_after=4, refuse_for_ms=200.0),
         )
         policy = Settings(
             classes=CLASSES, max_attempts=4, may_cancel=self.random.random() < 0.5, max_retry_after=600.0
@@ -299,7 +299,7 @@
         stream = Stream("p", replies.append)
         world.calls.request(stream, Described(b"r", 3, 0, 0, 300.0, 1, 0.0, False), world.clockwork.now)
         assert isinstance(replies[0], Route)
-        limit = replies[0].limit + world.calls.settings.late
+        limit = replies[0].limit + world.calls.settings.late_ms
         if response_first:
             world.clockwork.advance(limit - 0.001)
             world.calls.response(stream, Phase(200), None, world.clockwork.now)
--- a/tests/processor/test_streams.py
+++ b/tests/processor/test_streams.py
@@ -298,7 +298,10 @@
 
 def test_a_proxy_that_does_not_come_back_leaves_nothing() -> None:
     async def test() -> None:
-        async with site_with_processor(later_attempts=True, later_wait=20.0) as bench, bench.proxy() as proxy:
+        async with (
+            site_with_processor(later_attempts=True, later_wait_ms=20.0) as bench,
+            bench.proxy() as proxy,
+        ):
             stream = proxy.stream()
             await stream.ask(described())
             stream.cancel()
--- a/tests/processors.py
+++ b/tests/processors.py
@@ -12,10 +12,10 @@
 from badgercart.core.join import Join
 from badgercart.fronts.processor.settings import ProcessorSettings
 from badgercart.operator.file import Installation
-from badgercart.operator.run import Site
+from badgercart.operator.site import Site
 from cottonhall.interface import Effect, Event, RequestClass
 from standins.scripted_proxy import ScriptedProxy
-from tests.net import CLASSES, WAIT, config
+from tests.net import CLASSES, WAIT, config, listed
 
 _ids = itertools.count(1)
 SERVERS = ("127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003")
@@ -83,10 +83,9 @@
 
     def __init__(self, site: Site) -> None:
         super().__init__(site.join)
-        assert site.processor is not None
-        self.site, self.processor = site, site.processor
-        self.calls = site.processor.calls
-        self.address = "{}:{}".format(*site.processor.address)
+        self.site, self.processor = site, site.parts["processor"].front
+        self.calls = self.processor.calls
+        self.address = "{}:{}".format(*self.processor.address)
 
     async def settled(self) -> None:
         """Nothing is held, out or open any more."""
@@ -97,7 +96,7 @@
         assert all(proxy.unseen == 0 for proxy in self.calls.account.proxies.values())
 
     def lists(self, *entries: dict[str, Any], reset: bool = False) -> None:
-        self.site.take_list({"generation": 2, "reset": reset, "instances": list(entries)})
+        self.site.roster.take({"generation": 2, "reset": reset, "instances": list(entries)})
 
     def proxy(self, name: str = "p-1", **changes: Any) -> ScriptedProxy:
         return ScriptedProxy(self.address, name, **changes)
@@ -105,24 +104,23 @@
 
 @asynccontextmanager
 async def site_with_processor(
-    servers: int = 1, attempts: int = 4, classes: tuple[RequestClass, ...] = (), **changes: Any
+    servers: int = 1,
+    attempts: int = 4,
+    classes: tuple[RequestClass, ...] = (),
+    grace: float = 500.0,
+    **changes: Any,
 ) -> AsyncIterator[Bench]:
     base = config(1, attempts=attempts)
     settings = replace(base.settings, classes=classes or base.settings.classes)
-    what = Installation(
-        config=replace(base, settings=settings),
-        http=None,
-        processor=ProcessorSettings(listen=("127.0.0.1", 0), **changes),
-        graphql=None,
-        catalog=None,
-        etcd=None,
-        servers=[entry(number) for number in range(1, servers + 1)],
-    )
+    parts = {
+        "processor": ProcessorSettings.model_construct(listen=("127.0.0.1", 0), **changes),
+        "server": tuple(listed(entry(number)) for number in range(1, servers + 1)),
+    }
+    what = Installation(replace(base, settings=settings, drain_grace=grace), parts)
     site = Site(what, asyncio.get_running_loop())
     await site.start()
     try:
         yield Bench(site)
     finally:
-        assert site.processor is not None
-        await site.processor.server.stop(0)
+        await site.parts["processor"].front.server.stop(0)
         site.close()
