--- /dev/null
+++ b/badgercart/carriers/pool/attempts.py
@@ -0,0 +1,67 @@
+"""The life of one attempt, and how long servers keep idle connections. No I/O: tables and arithmetic."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from cottonhall.interface import Result
+
+# A server may close what stands idle sooner than it says, unseen until the next request is reset. Where two
+# in a row that were idle for longer than SHORT_IDLE are, the limit comes down; it grows back step by step.
+IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
+SHORT_IDLE, IDLE_GROWTH = 100.0, 1.1  # ms
+
+
+class At(Enum):
+    DIALLING = "dialling"  # no byte has been sent
+    SENT = "sent"  # given to the transport: it may have run
+    OVER = "over"
+
+
+# How an attempt may end from where it is. One that was not sent never ran, and one that was may have.
+ENDS: dict[At, frozenset[Result]] = {
+    At.DIALLING: frozenset((Result.UNREACHABLE, Result.CANCELLED)),
+    At.SENT: frozenset(
+        (Result.OK, Result.ERROR, Result.FULL, Result.RESET, Result.TIMEOUT, Result.CANCELLED)
+    ),
+    At.OVER: frozenset(),
+}
+OVERDUE = {At.DIALLING: Result.UNREACHABLE, At.SENT: Result.TIMEOUT}
+
+
+class Life:
+    """Where an attempt is; it ends once."""
+
+    __slots__ = ("at",)
+
+    def __init__(self) -> None:
+        self.at = At.DIALLING
+
+    def sent(self) -> None:
+        if self.at is not At.DIALLING:
+            raise RuntimeError(f"an attempt that is {self.at.value} can't be sent")
+        self.at = At.SENT
+
+    def ended(self, result: Result) -> None:
+        if result not in ENDS[self.at]:
+            raise RuntimeError(f"an attempt that is {self.at.value} can't end as {result.name}")
+        self.at = At.OVER
+
+
+class IdleLimit:
+    """For how long an idle connection is trusted, in ms, as learned from those that were dead."""
+
+    def __init__(self, told: float) -> None:
+        """`told`: the time after which servers say that they close one (ms)."""
+        self.most = self.ms = max(told - IDLE_MARGIN, told / 2)
+        self.stale = 0  # connections in a row that were dead after standing idle
+
+    def reused(self, idled: float, alive: bool) -> None:
+        """A connection that had stood idle for so many ms was used again."""
+        if idled > SHORT_IDLE:
+            self.stale = 0 if alive else self.stale + 1
+            if self.stale > 1:
+                self.ms = min(self.ms, idled)
+
+    def grow(self) -> None:
+        self.ms = min(self.ms * IDLE_GROWTH, self.most)
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -1,4 +1,4 @@
-"""The way to the servers: pooled connections, attempts on them, and how each attempt ended."""
+"""Drives the way to the servers: pooled connections, attempts on them, and how each attempt ended."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-import httptools
-
+from badgercart.carriers.pool.attempts import OVERDUE, IdleLimit, Life
+from badgercart.carriers.pool.exchange import Done, Exchange, Malformed, Message, Unasked
 from badgercart.config import Address
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer, Order
@@ -18,28 +18,12 @@
 from badgercart.core.roster import Member
 from cottonhall.interface import Result, State
 
-MAX_BODY = 65536
-MAX_HEAD = 16384  # bytes of status line and headers, those of interim answers included
-MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole answer, the framing of its body included
-MAX_INTERIM = 8  # answers 1xx ahead of the final one
-IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
 LAST_LOOK = 0.001  # s, one turn of the loop, between an attempt's time and its end
-# A server may close what stands idle sooner than it says, unseen until the next request is reset. Where two
-# in a row that were idle for longer than SHORT_IDLE are, the limit comes down; it grows back by the sweep.
-SHORT_IDLE, IDLE_GROWTH = 100.0, 1.1  # ms
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
 
 log = logging.getLogger("badgercart")
 
 
-@dataclass(slots=True)
-class Message:
-    """A request as it goes on: all but its time-out, which each attempt writes anew."""
-
-    head: bytes  # request line and header lines
-    body: bytes
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     request_id: int
@@ -49,6 +33,7 @@
     message: Message
     started: float
     deadline: float
+    life: Life = field(default_factory=Life)
     overdue: bool = False
     timer: asyncio.TimerHandle | None = None
     dial: asyncio.Task[None] | None = None
@@ -72,33 +57,24 @@
     """One connection; it carries one attempt at a time."""
 
     transport: asyncio.Transport
-    parser: httptools.HttpResponseParser
 
     def __init__(self, pool: ServerPool, server: Server) -> None:
         self.pool = pool
         self.server = server
         self.version = server.version
+        self.exchange = Exchange()
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
         self.idled = 0.0  # ms before the attempt
-        self.body = bytearray()
-        self.size = 0  # bytes of the answer so far
-        self.interim = 0
-        self.whole_head = False
-        self.not_started = False
-        self.content_type = b""
-        self.complete = False
-        self.keep = False
-        self.stray = False  # bytes came after the answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
-        self.parser = httptools.HttpResponseParser(self)
         self.fd = transport.get_extra_info("socket").fileno()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.unlink()
+        self.exchange.close()
+        self.exchange.unlink()
         self.pool.connections.discard(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
@@ -106,14 +82,9 @@
             # The request has been given to the transport: what its buffer held is no proof that the
             # server did not get it, so the attempt may have run.
             self.attempt = None
-            self.pool.reused(self.idled, self.size > 0)
+            self.pool.idle_limit.reused(self.idled, self.exchange.size > 0)
             self.pool.end(attempt, Result.RESET)
 
-    def unlink(self) -> None:
-        """The parser refers back to its connection: both would wait for the cyclic collector."""
-        if hasattr(self, "parser"):
-            del self.parser
-
     def quiet(self) -> bool:
         """Whether it is open and nothing lies unread in it, which would pass for the next answer.
 
@@ -126,92 +97,31 @@
         self.attempt = attempt
         self.idled = attempt.started - self.idle_since if self.idle_since else 0.0
         attempt.connection = self
-        self.complete = self.whole_head = False
-        self.size = self.interim = 0
-        left = max(1, int(attempt.deadline - now_ms()))
-        message = attempt.message
-        self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
+        attempt.life.sent()
+        self.transport.write(self.exchange.ask(attempt.message, attempt.deadline - now_ms()))
 
     def data_received(self, data: bytes) -> None:
-        if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
-            self.transport.abort()
+        found = self.exchange.received(data)
+        if found is None:
             return
-        self.size += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            if not self.complete:
-                self.malformed(str(error))
-                return
-            self.stray = True
-        except httptools.HttpParserUpgrade:
-            self.malformed("an upgrade")
-            return
-        if self.complete:
-            self.finish()
-        elif self.size > (MAX_ANSWER if self.whole_head else MAX_HEAD):
-            self.malformed("over the limit")
-
-    def malformed(self, what: str) -> None:
         attempt, self.attempt = self.attempt, None
-        self.transport.abort()
-        if attempt is not None:
-            log.warning("server %s:%d: malformed answer: %s", *self.server.address, what)
+        if isinstance(found, Unasked) or attempt is None:
+            self.transport.abort()
+        elif isinstance(found, Malformed):
+            self.transport.abort()
+            log.warning("server %s:%d: malformed answer: %s", *self.server.address, found.why)
             self.pool.end(attempt, Result.ERROR)
+        else:
+            self.done(attempt, found)
 
-    def finish(self) -> None:
-        attempt, self.attempt = self.attempt, None
-        assert attempt is not None
-        self.pool.reused(self.idled, True)
-        answer = Answer(self.parser.get_status_code(), bytes(self.body), self.content_type)
-        if self.keep and not self.stray:
+    def done(self, attempt: Attempt, found: Done) -> None:
+        self.pool.idle_limit.reused(self.idled, True)
+        if found.keep:
             self.pool.park(self)
         else:
             self.transport.close()
-        self.pool.end(attempt, result_of(answer.status, self.not_started), answer)
-
-    # What the parser finds.
-
-    def on_message_begin(self) -> None:
-        if self.complete:
-            self.stray = True
-            return
-        self.body.clear()
-        self.not_started = False
-        self.content_type = b""
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self.complete:
-            return
-        lower = name.lower()
-        if lower == b"content-length" and int(value) > MAX_BODY:
-            raise ValueError("a length over the limit")  # before the body comes, which may never end
-        if lower == b"not-started":
-            self.not_started = value == b"1"
-        elif lower == b"content-type":
-            self.content_type = value
-
-    def on_body(self, body: bytes) -> None:
-        if self.complete:
-            return
-        if len(self.body) + len(body) > MAX_BODY:
-            raise ValueError("a body over the limit")  # reaches data_received as a parser error
-        self.body += body
-
-    def on_headers_complete(self) -> None:
-        if not self.complete:
-            self.whole_head = self.parser.get_status_code() >= 200
-
-    def on_message_complete(self) -> None:
-        if self.complete:
-            return
-        if not self.whole_head:
-            self.interim += 1
-            if self.interim > MAX_INTERIM:
-                raise ValueError("too many interim answers")
-            return
-        self.complete = True
-        self.keep = self.parser.should_keep_alive()
+        answer = found.answer
+        self.pool.end(attempt, result_of(answer.status, found.not_started), answer)
 
 
 # Request, number of the attempt, server, result, ms that it took, and the answer where one came whole.
@@ -231,8 +141,7 @@
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
-        self.most_idle = self.keep_idle = max(idle_timeout - IDLE_MARGIN, idle_timeout / 2)
-        self.stale = 0  # connections in a row that were dead after standing idle
+        self.idle_limit = IdleLimit(idle_timeout)
         self.max_connections = max_connections
         self.on_end = on_end
         self.servers: dict[int, Server] = {}
@@ -274,7 +183,7 @@
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
         while server.idle:
             connection = server.idle.pop()
-            if now - connection.idle_since < self.keep_idle and connection.quiet():
+            if now - connection.idle_since < self.idle_limit.ms and connection.quiet():
                 connection.start(attempt)
                 return
             connection.transport.abort()
@@ -293,11 +202,11 @@
             async with asyncio.timeout(self.dial_timeout / 1000):
                 await self.loop.create_connection(lambda: connection, *server.address)
         except (OSError, UnicodeError):  # no connection in time, or an address that is none
-            connection.unlink()
+            connection.exchange.unlink()
             self.end(attempt, Result.UNREACHABLE)
             return
         except asyncio.CancelledError:
-            connection.unlink()
+            connection.exchange.unlink()
             raise
         finally:
             self.dials -= 1
@@ -330,17 +239,10 @@
         connection.idle_since = now_ms()
         server.idle.append(connection)
 
-    def reused(self, idled: float, alive: bool) -> None:
-        """Learn for how long the servers keep an idle connection."""
-        if idled > SHORT_IDLE:
-            self.stale = 0 if alive else self.stale + 1
-            if self.stale > 1:
-                self.keep_idle = min(self.keep_idle, idled)
-
     def sweep(self) -> None:
         self.loop.call_later(SWEEP, self.sweep)
-        self.keep_idle = min(self.keep_idle * IDLE_GROWTH, self.most_idle)
-        before = now_ms() - self.keep_idle
+        self.idle_limit.grow()
+        before = now_ms() - self.idle_limit.ms
         for server in self.servers.values():
             while server.idle and server.idle[0].idle_since < before:
                 server.idle.pop(0).transport.close()
@@ -353,7 +255,7 @@
             attempt.timer = self.loop.call_later(LAST_LOOK, self.expire, attempt)
             return
         # Where no connection came up in the whole time, nothing was sent.
-        self.drop(attempt, Result.UNREACHABLE if attempt.connection is None else Result.TIMEOUT)
+        self.drop(attempt, OVERDUE[attempt.life.at])
 
     def cancel(self, request_id: int, number: int) -> None:
         attempt = self.attempts.get((request_id, number))
@@ -366,12 +268,14 @@
             attempt.dial.cancel()
         if attempt.connection is not None:
             attempt.connection.attempt = None
+            attempt.connection.exchange.close()
             attempt.connection.transport.abort()
         self.end(attempt, result)
 
     def end(self, attempt: Attempt, result: Result, answer: Answer | None = None) -> None:
         if self.attempts.pop((attempt.request_id, attempt.number), None) is None:
             return
+        attempt.life.ended(result)
         if attempt.timer is not None:
             attempt.timer.cancel()
         attempt.dial = attempt.connection = None
--- a/badgercart/core/requests.py
+++ b/badgercart/core/requests.py
@@ -31,12 +31,19 @@
     key: int
 
 
+def unknown_tenant(name: bytes | None) -> str:
+    """Why a request's tenant is none."""
+    if not name:
+        return "no Tenant header, and no default_tenant is set"
+    return f"there is no tenant {name[:64].decode('latin-1')!r}"
+
+
 class Classifier:
     """Reads descriptions by one node's configuration."""
 
     def __init__(self, config: Config) -> None:
         self.classes = config.classes
-        self.tenants = config.tenants
+        self.tenant = config.tenant
         self.effects = [cls.effect for cls in config.settings.classes]
 
     def read(
@@ -54,12 +61,13 @@
         if method != wanted:
             raise BadDescription(405, f"the class wants {wanted.decode()}", wanted)
         if not name:
-            raise BadDescription(400, "no request id")
-        number = self.tenants.get(tenant or b"") if self.tenants else 0
+            raise BadDescription(400, "no Request-Id")
+        number = self.tenant(tenant)
         if number is None:
-            raise BadDescription(400, "no such tenant")
-        # Keyed with no key, or a key where a repeat can't be told.
-        if effect is not Effect.SAFE and (key is None) == (effect is Effect.KEYED):
-            raise BadDescription(400, "an idempotency key goes with a keyed class, and only with one")
+            raise BadDescription(400, unknown_tenant(tenant))
+        if effect is Effect.KEYED and key is None:
+            raise BadDescription(400, "the class is keyed: it wants an Idempotency-Key")
+        if effect is Effect.UNSAFE and key is not None:  # a repeat could not be told by it
+            raise BadDescription(400, "the class is not keyed: it takes no Idempotency-Key")
         place = stable_id(parts[-1]) if len(parts) > 2 and parts[-1] else 0
         return Found(name, cls, number, place)
--- a/badgercart/fronts/graphql/execution.py
+++ b/badgercart/fronts/graphql/execution.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from badgercart.carriers.pool.pool import Message
+from badgercart.carriers.pool.exchange import Message
 from badgercart.core.join import Join
 from badgercart.core.ports import Answer, Carrier, Intake
 from badgercart.fronts.graphql.merge import Outcome, response
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -5,20 +5,22 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from graphql import FragmentDefinitionNode, OperationDefinitionNode, execute_sync, parse, print_ast
 
-from badgercart.carriers.pool.pool import Message, ServerPool
+from badgercart.carriers.pool.exchange import Message
+from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
 from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
 from badgercart.core.names import stable_id
 from badgercart.core.ports import Answer
 from badgercart.core.ports import Order as Attempt
+from badgercart.core.requests import unknown_tenant
 from badgercart.core.roster import Roster
 from badgercart.fronts.graphql.documents import Documents, Rejected
 from badgercart.fronts.graphql.execution import Execution, Order, PartCall
@@ -30,6 +32,7 @@
     RESPONSE_JSON,
     Asked,
     HttpError,
+    bad_request,
     error,
     media_type,
     read_get,
@@ -37,8 +40,9 @@
     status_of,
 )
 from badgercart.fronts.graphql.settings import GraphqlSettings
-from badgercart.fronts.http.clients import BadRequest, ClientConnection, ClientRequest, Headers, Listener
+from badgercart.fronts.http.clients import ClientConnection, Listener
 from badgercart.fronts.http.front import MARGIN, SPARE_SOCKETS
+from badgercart.fronts.http.requests import BadRequest, ClientRequest, Headers, Page
 from cottonhall.interface import Effect, Result
 
 MAX_KEY = 256  # bytes of a client's idempotency key
@@ -122,7 +126,7 @@
         self.effects = [cls.effect for cls in config.settings.classes]
         self.deadline = config.longest
         self.stopping = False
-        self.pages: dict[bytes, Callable[[], bytes]] = {}
+        self.pages: Mapping[bytes, Page] = {}
         self.last = 0
         self.open: dict[int, Execution] = {}
         room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
@@ -131,7 +135,7 @@
             loop, config.dial_timeout, config.idle_timeout, room * 3 // 8, self.carrier.ended
         )
         roster.on_change.append(self.pool.update)
-        self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read)
+        self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read, bad_request)
 
     @property
     def healthy(self) -> bool:
@@ -142,12 +146,16 @@
     def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
         """What HTTP itself says of a request. The rest is read in its turn, and answered in words."""
         if url.partition(b"?")[0] != self.settings.path.encode():
-            raise BadRequest(404)
+            raise BadRequest(404, f"GraphQL is served at {self.settings.path}")
         if method not in (b"GET", b"POST"):
-            raise BadRequest(405, b"Allow: GET, POST\r\n")
-        tenant = self.config.tenants.get(headers.tenant or b"") if self.config.tenants else 0
-        if headers.bad or tenant is None or len(headers.key or b"") > MAX_KEY:
-            raise BadRequest(400)
+            raise BadRequest(405, "GraphQL is asked by GET or POST", b"Allow: GET, POST\r\n")
+        tenant = self.config.tenant(headers.tenant)
+        if headers.fault:
+            raise BadRequest(400, headers.fault)
+        if tenant is None:
+            raise BadRequest(400, unknown_tenant(headers.tenant))
+        if len(headers.key or b"") > MAX_KEY:
+            raise BadRequest(400, f"Idempotency-Key is over {MAX_KEY} bytes")
         more: dict[bytes, bytes] = {}
         for line in headers.lines:
             name, _, value = line.partition(b":")
@@ -194,7 +202,7 @@
         except Exception:
             # One request must not take the node down with it.
             log.warning("a GraphQL request could not be planned", exc_info=True)
-            client.answer(500)
+            client.failed(broken=True)
             return
         client.request_id = number = self.join.number()
 
--- a/badgercart/fronts/graphql/requests.py
+++ b/badgercart/fronts/graphql/requests.py
@@ -8,11 +8,13 @@
 
 import json
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 from urllib.parse import parse_qsl
 
 RESPONSE_JSON = "application/graphql-response+json"
 PLAIN_JSON = "application/json"
+MAX_WHY = 200  # characters of a reason that go into an answer
 
 
 class HttpError(Exception):
@@ -131,6 +133,13 @@
     return {"message": message, "extensions": {"code": code} | more}
 
 
+@lru_cache(maxsize=256)  # the same few reasons over and over
+def bad_request(status: int, why: str) -> tuple[bytes, bytes]:
+    """Media type and body for a request that can't be taken as HTTP: what it accepts is not known."""
+    code = "INTERNAL_SERVER_ERROR" if status == 500 else "BAD_REQUEST"
+    return PLAIN_JSON.encode(), json.dumps({"errors": [error(why[:MAX_WHY], code)]}).encode()
+
+
 def status_of(media: str, response: dict[str, Any], refused: bool = False) -> int:
     """The status that goes with a response that no HTTP error took the place of.
 
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -1,29 +1,29 @@
-"""The side of the clients: the listener, request parsing, and final answers."""
+"""Drives clients' connections over asyncio: the listener, its limits, and what has waited for too long."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
 import logging
-import re
 import socket
-from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
-from http import HTTPStatus
+from collections import Counter
+from collections.abc import Mapping
 from typing import Protocol, cast
 
-import httptools
-
-from badgercart.carriers.pool.pool import MAX_BODY, MAX_HEAD, Message
-from badgercart.config import Address, Config
+from badgercart.config import Address
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer
-from badgercart.core.requests import BadDescription, Classifier
+from badgercart.fronts.http.connection import Connection, State
+from badgercart.fronts.http.requests import (
+    BadRequest,
+    ClientRequest,
+    Headers,
+    Page,
+    Read,
+    Words,
+    no_words,
+)
 
-MAX_REQUEST = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole request, the framing of its body included
-MAX_WAITING = 8  # requests sent ahead on one connection, after which it is read no further
-SLICE = 4096  # bytes parsed at a time: what is read at once may hold hundreds of requests
 REQUEST_TIME = 2.0  # s for a request, the first from the connection's start, others from their first byte
 KEEP_ALIVE = 10.0  # s that a connection may stand idle between requests
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
@@ -34,59 +34,15 @@
 ACCEPTS = 64  # connections taken over in one go, before those that are there are read
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
-HEALTH_PATH = b"/_health"
-
-_TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
-_DIGITS = re.compile(rb"\d{1,9}")
-_OWN = frozenset(  # headers that concern one connection only, or that each attempt writes anew
-    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"expect", b"content-length", b"request-timeout")
-)  # fmt: skip
-_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
-
 
 log = logging.getLogger("badgercart")
 
 
-class BadRequest(Exception):
-    """A request that can't be taken: the status that says why, and header lines that go with it."""
-
-    def __init__(self, status: int, extra: bytes = b"") -> None:
-        self.status = status
-        self.extra = extra
-
-
-@dataclass(slots=True)
-class ClientRequest:
-    """A checked request."""
-
-    message: Message
-    name: bytes  # its Request-Id
-    cls: int
-    tenant: int
-    key: int
-    sent: float  # as near as the node can tell
-    timeout: float  # ms from then until the client gives up
-    hint: float  # the client's guess at the work in ms, 0: none
-    repeat: bool  # marked as the client's retry
-
-
-class Health:
-    """The front asks whether the node can serve."""
-
-
-@dataclass(slots=True)
-class Page:
-    """An operator asks for a page."""
-
-    body: Callable[[], bytes]
-
-
 class Handler(Protocol):
     """What takes the requests."""
 
     stopping: bool
-    pages: dict[bytes, Callable[[], bytes]]
+    pages: Mapping[bytes, Page]
 
     @property
     def healthy(self) -> bool: ...
@@ -98,7 +54,6 @@
         """The client has gone away."""
 
 
-Item = ClientRequest | BadRequest | Health | Page
 Wait = dict["ClientConnection", float]  # and since when
 
 
@@ -112,19 +67,28 @@
         handler: Handler,
         limit: int,
         read: Read,
+        words: Words = no_words,
     ) -> None:
         self.loop = loop
         self.listen = address
         self.read = read
+        self.words = words
+        self.turned_away: Counter[int] = Counter()  # requests that could not be taken, by their status
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()  # also those that are about to close
         self.open_ids: set[bytes] = set()  # of requests that have come and are not answered
         # Since when, the longest first.
-        self.silent: Wait = {}  # connected, nothing heard
-        self.arriving: Wait = {}  # a request has come in part
-        self.idle: Wait = {}  # between requests
-        self.ending: Wait = {}  # the last answer is written
+        self.silent: Wait = {}
+        self.arriving: Wait = {}
+        self.idle: Wait = {}
+        self.ending: Wait = {}
+        self.waits: dict[State, Wait] = {
+            State.SILENT: self.silent,
+            State.ARRIVING: self.arriving,
+            State.IDLE: self.idle,
+            State.ENDING: self.ending,
+        }
         self.socket: socket.socket | None = None
         self.accepting = False
         self.evicted: ClientConnection | None = None  # the last that had to make room, until it is gone
@@ -253,8 +217,7 @@
         self.resume()
         now = self.loop.time()
         for client in self.overdue(self.arriving, now - REQUEST_TIME):
-            client.refuse(408)
-            client.next()
+            client.machine.overdue(now)
         # A client that does not read its answer has longer than one that has it, but must not stay for ever.
         told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
         for client in (
@@ -270,361 +233,115 @@
         return [client for client, since in wait.items() if since < before]
 
 
-class Headers:
-    """The headers of one request: what the node reads of them, and the lines that go on."""
-
-    __slots__ = (
-        "bad", "coding", "expects", "hint", "key", "length", "lines", "repeat", "request_id", "size",
-        "tenant", "timeout", "whole",
-    )  # fmt: skip
-
-    def __init__(self) -> None:
-        self.lines: list[bytes] = []
-        self.size = self.length = 0
-        self.bad = self.expects = self.whole = False
-        self.request_id: bytes | None = None
-        self.tenant: bytes | None = None
-        self.key: bytes | None = None
-        self.coding: bytes | None = None
-        self.timeout: float | None = None
-        self.hint, self.repeat = 0.0, False
-
-    def add(self, name: bytes, value: bytes) -> None:
-        lower = name.lower()
-        if lower == b"request-id":
-            self.bad = self.bad or self.request_id is not None
-            self.request_id = value
-        elif lower == b"tenant":
-            self.bad = self.bad or self.tenant is not None
-            self.tenant = value
-        elif lower == b"idempotency-key":
-            self.bad = self.bad or self.key is not None or not value
-            self.key = value
-        elif lower == b"request-timeout":
-            match = _TIMEOUT.fullmatch(value)
-            self.bad = self.bad or self.timeout is not None or match is None
-            if match is not None:
-                self.timeout = float(match[1]) / (1 if match[2] == b"m" else 1000)
-        elif lower == b"content-length":
-            self.length = int(value)  # the parser has refused all but digits
-        elif lower == b"transfer-encoding":
-            self.bad = self.bad or self.coding is not None
-            self.coding = value
-        elif lower == b"work-hint":
-            self.hint = int(value) / 1000 if _DIGITS.fullmatch(value) else 0.0  # a guess may be left out
-        elif lower == b"client-retry":
-            self.repeat = value == b"1"
-        elif lower == b"expect":
-            self.expects = value.lower() == b"100-continue"
-        if lower not in _OWN:
-            self.lines.append(b"%b: %b\r\n" % (name, value))
-
-
-# Method, target, headers and body of a whole request into what is taken; BadRequest where it can't be.
-Read = Callable[[bytes, bytes, Headers, bytes], ClientRequest]
-
-
-def platform_requests(config: Config) -> Read:
-    """Reads requests of the platform's protocol."""
-    classifier = Classifier(config)
-
-    def read(method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
-        if headers.bad or headers.timeout is None or (body and method == b"GET"):
-            raise BadRequest(400)
-        try:
-            found = classifier.read(method, url, headers.request_id, headers.tenant, headers.key)
-        except BadDescription as error:
-            allow = b"Allow: %b\r\n" % error.allow if error.allow else b""
-            raise BadRequest(error.status, allow) from None
-        if method == b"POST":
-            headers.lines.append(b"Content-Length: %d\r\n" % len(body))
-        head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
-        return ClientRequest(
-            message=Message(head, body),
-            name=found.name,
-            cls=found.cls,
-            tenant=found.tenant,
-            key=found.key,
-            sent=now_ms(),
-            timeout=headers.timeout,
-            hint=headers.hint,
-            repeat=headers.repeat,
-        )
-
-    return read
-
-
 class ClientConnection(asyncio.Protocol):
-    """One connection of a client. Requests on it are answered one after the other."""
+    """One connection of a client, and the front that owes the answer to its request."""
 
     transport: asyncio.Transport
-    parser: httptools.HttpRequestParser
+    machine: Connection
 
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
-        # What has come in whole and waits for its turn, and whether to keep the connection after it.
-        self.waiting: deque[tuple[Item, bool]] = deque()
-        self.backlog = b""  # read and not parsed, while enough requests wait
-        self.request: ClientRequest | None = None  # that is being served
-        self.request_id = 0  # its number; 0: none
-        self.busy = self.advancing = False
-        self.keep = True  # the connection, after the answer under way
-        self.ended = False  # nothing further is read on it
-        self.paused = self.full = False  # reading; writing
-        self.reading = False  # a request has come in part
-        self.served = False  # one has come in whole
-        self.since = 0.0  # when the one that comes in began, the first with the connection
+        self.request_id = 0  # the number of the request under way; 0: none
         self.wait: Wait | None = None  # the one that it is in
-        self.url = b""
-        self.headers = Headers()
-        self.body = bytearray()
-        self.size = 0  # bytes of the request that comes in
+
+    # From the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
-        self.parser = httptools.HttpRequestParser(self)
-        self.since = self.listener.loop.time()
-        self.put(self.listener.silent, self.since)
+        now = self.listener.loop.time()
+        self.machine = Connection(self, now)
+        self.moved(State.SILENT, now)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = True
-        del self.parser  # it refers back to this connection: both would wait for the cyclic collector
-        self.put(None)
+        self.machine.lost(self.listener.loop.time())
         self.listener.lost(self)
-        for item, _ in self.waiting:
-            self.release(item)
-        self.waiting.clear()
-        self.backlog = b""
-        self.release(self.request)
         if self.request_id:
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
 
-    def put(self, wait: Wait | None, since: float | None = None) -> None:
-        """Into one of the listener's waits, or into none while a server is waited for."""
-        if wait is self.wait:
-            return
-        if self.wait is not None:
-            del self.wait[self]
-        self.wait = wait
-        if wait is not None:
-            wait[self] = self.listener.loop.time() if since is None else since
+    def data_received(self, data: bytes) -> None:
+        self.machine.received(data, self.listener.loop.time())
 
-    def release(self, item: Item | None) -> None:
-        if isinstance(item, ClientRequest):
-            self.listener.open_ids.discard(item.name)
+    def pause_writing(self) -> None:
+        self.machine.unread()
 
-    # Requests in.
+    def resume_writing(self) -> None:
+        self.machine.read_again(self.listener.loop.time())
 
-    def data_received(self, data: bytes) -> None:
-        if self.ended:
-            return
-        if self.backlog:
-            self.backlog += data
-        else:
-            self.parse(data)
-        self.next()
-
-    def parse(self, data: bytes) -> None:
-        """Parse until enough requests wait; the rest is kept until they are answered, and reading rests."""
-        at = 0
-        while at < len(data) and not self.ended:
-            if len(self.waiting) >= MAX_WAITING:
-                break
-            part = data[at : at + SLICE] if len(data) > SLICE else data
-            at += len(part)
-            self.size += len(part)
-            try:
-                self.parser.feed_data(part)
-            except httptools.HttpParserUpgrade:
-                # No upgrade is offered: the request is served as any other, and the last on its connection.
-                self.ended = True
-                if self.waiting:
-                    self.waiting[-1] = (self.waiting[-1][0], False)
-            except httptools.HttpParserError as error:
-                cause = error.__context__
-                bad = (cause.status, cause.extra) if isinstance(cause, BadRequest) else (400, b"")
-                del cause  # it holds this frame, and this frame it: both would wait for the cyclic collector
-                self.refuse(*bad)
-            else:
-                if self.size > (MAX_REQUEST if self.headers.whole else MAX_HEAD):
-                    self.refuse(413 if self.headers.whole else 431)
-        self.backlog = b"" if self.ended else data[at:]
-        if not self.backlog:
-            self.read_on()
-        elif not self.paused:
-            self.paused = True
-            self.transport.pause_reading()
-
-    def read_on(self) -> None:
-        if self.paused and not self.transport.is_closing():
-            self.paused = False
-            self.transport.resume_reading()
-
-    def refuse(self, status: int, extra: bytes = b"") -> None:
-        """Answer what came before, then this, and close: where the next request begins can't be trusted."""
-        self.ended = True
-        self.forget()
-        self.waiting.append((BadRequest(status, extra), False))
-
-    def forget(self) -> None:
-        """Keep nothing of a request that has come in: the connection may stand idle for long."""
-        self.reading = False
-        self.size = 0
-        self.url = b""
-        self.headers, self.body = Headers(), bytearray()
-
-    def on_message_begin(self) -> None:
-        self.reading = True
-        if self.served:
-            self.since = self.listener.loop.time()
-
-    def on_url(self, url: bytes) -> None:
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        headers = self.headers
-        headers.size += len(name) + len(value) + 4
-        if headers.size > MAX_HEAD:
-            raise BadRequest(431)
-        if not headers.whole:  # trailers come here too: they must not pass for headers
-            headers.add(name, value)
-
-    def on_headers_complete(self) -> None:
-        headers, version = self.headers, self.parser.get_http_version()
-        headers.whole = True
-        if version not in ("1.0", "1.1"):
-            raise BadRequest(505)
-        # The parser passes over codings that it does not know, and HTTP/1.0 has none.
-        if headers.coding is not None and (headers.coding.lower() != b"chunked" or version == "1.0"):
-            raise BadRequest(400)
-        if headers.length > MAX_BODY:
-            raise BadRequest(413)  # before the body has come
-        if headers.expects and not self.busy and not self.waiting:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        if len(self.body) + len(body) > MAX_BODY:
-            raise BadRequest(413)
-        self.body += body
-
-    def on_message_complete(self) -> None:
-        item = self.whole_request()
-        if isinstance(item, ClientRequest):
-            # Two that are open under one name could not be told apart by the servers.
-            if item.name in self.listener.open_ids:
-                raise BadRequest(409)
-            self.listener.open_ids.add(item.name)
-        self.waiting.append((item, self.parser.should_keep_alive()))
-        self.served = True
-        self.forget()
-
-    def whole_request(self) -> ClientRequest | Health | Page:
-        headers, url = self.headers, self.url
-        if url == HEALTH_PATH:
-            if self.parser.get_method() != b"GET":
-                raise BadRequest(405, b"Allow: GET\r\n")
-            return Health()
-        if (page := self.listener.handler.pages.get(url)) is not None:
-            return Page(page)
-        return self.listener.read(self.parser.get_method(), url, headers, bytes(self.body))
-
-    def next(self) -> None:
-        """Begin with the next request that has come in whole."""
-        if self.advancing:  # an answer given at once comes back here: a loop, or many would nest too deep
-            return
-        self.advancing = True
-        while not self.busy and not self.full:
-            if not self.waiting and self.backlog:
-                backlog, self.backlog = self.backlog, b""
-                self.parse(backlog)
-            if not self.waiting:
-                break
-            item, self.keep = self.waiting.popleft()
-            self.busy = True
-            self.begin(item)
-        self.advancing = False
-        self.place()
-
-    def begin(self, item: Item) -> None:
-        handler = self.listener.handler
-        self.put(None)
-        if isinstance(item, ClientRequest):
-            self.request = item
-            handler.take(self, item)
-        elif isinstance(item, BadRequest):
-            self.answer(item.status, extra=item.extra)
-        elif isinstance(item, Page):
-            self.answer(200, item.body(), b"application/json")
-        elif handler.healthy and not handler.stopping:
-            self.answer(200, b"ok\n", b"text/plain")
-        else:
-            self.answer(503)
-
-    def place(self) -> None:
-        """Say what the connection waits for."""
-        listener = self.listener
-        if self.busy:
-            self.put(None)
-        elif self.ended and not self.waiting:
-            self.put(listener.ending)
-        elif self.full or (self.served and not self.reading):
-            self.put(listener.idle)
-        elif self.reading:
-            self.put(listener.arriving, self.since)
-
-    # Answers out.
+    # From the join.
 
     def answered(self, answer: Answer) -> None:
         self.answer(answer.status, answer.body, answer.content_type)
 
     def refused(self, wait: float) -> None:
-        self.answer(503, extra=b"Retry-After: %.3f\r\n" % (wait / 1000) if wait else b"")
+        content_type, body = self.listener.words(503, "not run; trying again does no harm")
+        after = b"Retry-After: %.3f\r\n" % (wait / 1000) if wait else b""
+        self.answer(503, body, content_type, after)
 
     def failed(self, broken: bool) -> None:
-        self.answer(500 if broken else 502)
+        status, why = (500, "the node failed") if broken else (502, "failed; it may have run")
+        content_type, body = self.listener.words(status, why)
+        self.answer(status, body, content_type)
 
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", extra: bytes = b"") -> None:
         """Write the final answer to the request under way."""
         self.request_id = 0
-        self.release(self.request)
-        self.request = None
-        # A node that stops still owes an answer to what it has read: the connection ends with the last.
-        more = bool(self.waiting or self.backlog)
-        keep = self.keep and (more or not (self.listener.handler.stopping or self.listener.crowded))
-        lines = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b" % (
-            status,
-            _PHRASES.get(status, b""),
-            len(body),
-            extra,
-        )
-        if content_type:
-            lines += b"Content-Type: %b\r\n" % content_type
-        self.transport.write(b"%b%b\r\n%b" % (lines, b"" if keep else b"Connection: close\r\n", body))
-        self.busy = False
-        if not keep:
-            self.end()
-        self.next()
-
-    def end(self) -> None:
-        """After the last answer: a plain close with bytes unread would reset the connection under it."""
-        self.ended = True
-        for item, _ in self.waiting:
-            self.release(item)
-        self.waiting.clear()
-        self.backlog = b""
-        self.read_on()
+        self.machine.answer(self.listener.loop.time(), status, body, content_type, extra)
+
+    # From the machine.
+
+    @property
+    def keeps(self) -> bool:
+        return not (self.listener.handler.stopping or self.listener.crowded)
+
+    @property
+    def serves(self) -> bool:
+        return self.listener.handler.healthy and not self.listener.handler.stopping
+
+    def moved(self, state: State, since: float) -> None:
+        """Into one of the listener's waits, or into none while a server is waited for."""
+        if self.wait is not None:
+            del self.wait[self]
+        self.wait = self.listener.waits.get(state)
+        if self.wait is not None:
+            self.wait[self] = since
+
+    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest | Page:
+        if (page := self.listener.handler.pages.get(url)) is not None:
+            if method != b"GET":
+                raise BadRequest(405, "a page is asked for by GET", b"Allow: GET\r\n")
+            return page
+        return self.listener.read(method, url, headers, body)
+
+    def words(self, status: int, why: str) -> tuple[bytes, bytes]:
+        self.listener.turned_away[status] += 1
+        return self.listener.words(status, why)
+
+    def claim(self, name: bytes) -> bool:
+        if name in self.listener.open_ids:
+            return False
+        self.listener.open_ids.add(name)
+        return True
+
+    def release(self, name: bytes) -> None:
+        self.listener.open_ids.discard(name)
+
+    def take(self, request: ClientRequest) -> None:
+        self.listener.handler.take(self, request)
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+    def pause(self) -> None:
+        self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def finish(self) -> None:
         if not self.transport.is_closing() and self.transport.can_write_eof():
             self.transport.write_eof()
         else:
             self.transport.close()
-
-    # A client that does not read its answers gets no further ones.
-
-    def pause_writing(self) -> None:
-        self.full = True
-
-    def resume_writing(self) -> None:
-        self.full = False
-        self.next()
--- /dev/null
+++ b/badgercart/fronts/http/connection.py
@@ -0,0 +1,365 @@
+"""One client's connection as a machine without I/O: bytes, answers and times in, bytes and requests out.
+
+Requests on a connection are answered one after the other. The machine reads no clock, opens nothing and
+waits for nothing; what it wants done it asks of its `Side`. Its legal moves stand in `MOVES`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import Protocol
+
+import httptools
+
+from badgercart.carriers.pool.exchange import MAX_BODY, MAX_HEAD
+from badgercart.fronts.http.requests import (
+    MAX_REQUEST,
+    PHRASES,
+    BadRequest,
+    ClientRequest,
+    Headers,
+    Health,
+    Item,
+    Page,
+)
+
+MAX_WAITING = 8  # requests sent ahead on one connection, after which it is read no further
+SLICE = 4096  # bytes parsed at a time: what is read at once may hold hundreds of requests
+HEALTH_PATH = b"/_health"
+
+
+class State(Enum):
+    """What a connection waits for."""
+
+    SILENT = "silent"  # connected, nothing heard
+    ARRIVING = "arriving"  # a request has come in part
+    HELD = "held"  # a request is being served
+    IDLE = "idle"  # between requests, or its client does not read its answers
+    ENDING = "ending"  # the last answer is written
+    CLOSED = "closed"
+
+
+MOVES: dict[State, frozenset[State]] = {
+    State.SILENT: frozenset((State.ARRIVING, State.HELD, State.ENDING, State.CLOSED)),
+    State.ARRIVING: frozenset((State.HELD, State.IDLE, State.ENDING, State.CLOSED)),
+    State.HELD: frozenset((State.ARRIVING, State.IDLE, State.ENDING, State.CLOSED)),
+    State.IDLE: frozenset((State.ARRIVING, State.HELD, State.ENDING, State.CLOSED)),
+    State.ENDING: frozenset((State.CLOSED,)),
+    State.CLOSED: frozenset(),
+}
+
+
+class Side(Protocol):
+    """What a connection asks of its surroundings. None of these calls comes back into it but `take`."""
+
+    @property
+    def keeps(self) -> bool:
+        """Whether connections are kept after their answers."""
+
+    @property
+    def serves(self) -> bool:
+        """Whether the node can serve: what /_health says."""
+
+    def moved(self, state: State, since: float) -> None:
+        """It waits for something else, since then (s, on the clock of the events)."""
+
+    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest | Page:
+        """A whole request into what is taken. Raises BadRequest."""
+
+    def words(self, status: int, why: str) -> tuple[bytes, bytes]:
+        """Content type and body that say why."""
+
+    def claim(self, name: bytes) -> bool:
+        """Take a request's name, unless one that is open has it already."""
+
+    def release(self, name: bytes) -> None: ...
+
+    def take(self, request: ClientRequest) -> None:
+        """Serve a request. Its answer may come before this returns."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def pause(self) -> None:
+        """Read no further for now."""
+
+    def resume(self) -> None: ...
+
+    def finish(self) -> None:
+        """Nothing more is written."""
+
+
+class Connection:
+    """The machine. `now` is given with each event, in s on one clock that only goes forward."""
+
+    __slots__ = (
+        "__weakref__", "advancing", "backlog", "body", "busy", "ended", "full", "headers", "keep", "now",
+        "parser", "paused", "reading", "request", "served", "side", "since", "size", "state", "url",
+        "waiting",
+    )  # fmt: skip
+
+    def __init__(self, side: Side, now: float) -> None:
+        self.side = side
+        self.now = now
+        self.state = State.SILENT
+        self.parser = httptools.HttpRequestParser(self)
+        # What has come in whole and waits for its turn, and whether to keep the connection after it.
+        self.waiting: deque[tuple[Item, bool]] = deque()
+        self.backlog = b""  # read and not parsed, while enough requests wait
+        self.request: ClientRequest | None = None  # that is being served
+        self.busy = self.advancing = False
+        self.keep = True  # the connection, after the answer under way
+        self.ended = False  # nothing further is read on it
+        self.paused = self.full = False  # reading; writing
+        self.reading = False  # a request has come in part
+        self.served = False  # one has come in whole
+        self.since = now  # when the one that comes in began, the first with the connection
+        self.url = b""
+        self.headers = Headers()
+        self.body = bytearray()
+        self.size = 0  # bytes of the request that comes in
+
+    # Events.
+
+    def received(self, data: bytes, now: float) -> None:
+        self.now = now
+        if self.ended:
+            return
+        if self.backlog:
+            self.backlog += data
+        else:
+            self.parse(data)
+        self.next()
+
+    def overdue(self, now: float) -> None:
+        """The request that comes in has taken too long."""
+        self.now = now
+        self.refuse(408, "the request did not come in whole in time")
+        self.next()
+
+    def answer(self, now: float, status: int, body: bytes, content_type: bytes, extra: bytes) -> None:
+        """The final answer to the request under way, if its client is still there."""
+        if self.state is State.CLOSED:
+            return
+        self.now = now
+        self.write_answer(status, body, content_type, extra)
+        self.next()
+
+    def unread(self) -> None:
+        """A client that does not read its answers gets no further ones."""
+        self.full = True
+
+    def read_again(self, now: float) -> None:
+        self.now = now
+        self.full = False
+        self.next()
+
+    def lost(self, now: float) -> None:
+        """The connection is gone, and all that waited on it with it."""
+        self.now = now
+        self.ended = True
+        del self.parser  # it refers back to this connection: both would wait for the cyclic collector
+        self.move(State.CLOSED)
+        self.drop_waiting()
+        self.release(self.request)
+        del self.side  # it refers back, too
+
+    # States.
+
+    def move(self, state: State, since: float | None = None) -> None:
+        if state is self.state:
+            return
+        if state not in MOVES[self.state]:
+            raise RuntimeError(f"a client's connection can't go from {self.state.value} to {state.value}")
+        self.state = state
+        self.side.moved(state, self.now if since is None else since)
+
+    def place(self) -> None:
+        """Say what the connection waits for."""
+        if self.busy:
+            self.move(State.HELD)
+        elif self.ended and not self.waiting:
+            self.move(State.ENDING)
+        elif self.full or (self.served and not self.reading):
+            self.move(State.IDLE)
+        elif self.reading:
+            self.move(State.ARRIVING, self.since)
+
+    def release(self, item: Item | None) -> None:
+        if isinstance(item, ClientRequest):
+            self.side.release(item.name)
+
+    def drop_waiting(self) -> None:
+        for item, _ in self.waiting:
+            self.release(item)
+        self.waiting.clear()
+        self.backlog = b""
+
+    # Requests in.
+
+    def parse(self, data: bytes) -> None:
+        """Parse until enough requests wait; the rest is kept until they are answered, and reading rests."""
+        at = 0
+        while at < len(data) and not self.ended:
+            if len(self.waiting) >= MAX_WAITING:
+                break
+            part = data[at : at + SLICE] if len(data) > SLICE else data
+            at += len(part)
+            self.size += len(part)
+            try:
+                self.parser.feed_data(part)
+            except httptools.HttpParserUpgrade:
+                # No upgrade is offered: the request is served as any other, and the last on its connection.
+                self.ended = True
+                if self.waiting:
+                    self.waiting[-1] = (self.waiting[-1][0], False)
+            except httptools.HttpParserError as error:
+                cause = error.__context__
+                if isinstance(cause, BadRequest):
+                    self.refuse(cause.status, cause.why, cause.extra)
+                else:
+                    self.refuse(400, f"this is no HTTP/1.1 request: {error}")
+                del cause  # it holds this frame, and this frame it: both would wait for the cyclic collector
+            else:
+                if self.size > (MAX_REQUEST if self.headers.whole else MAX_HEAD):
+                    if self.headers.whole:
+                        self.refuse(413, f"the request is over {MAX_REQUEST} bytes")
+                    else:
+                        self.refuse(431, f"the head is over {MAX_HEAD} bytes")
+        self.backlog = b"" if self.ended else data[at:]
+        if not self.backlog:
+            self.read_on()
+        elif not self.paused:
+            self.paused = True
+            self.side.pause()
+
+    def read_on(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.side.resume()
+
+    def refuse(self, status: int, why: str, extra: bytes = b"") -> None:
+        """Answer what came before, then this, and close: where the next request begins can't be trusted."""
+        self.ended = True
+        self.forget()
+        self.waiting.append((BadRequest(status, why, extra), False))
+
+    def forget(self) -> None:
+        """Keep nothing of a request that has come in: the connection may stand idle for long."""
+        self.reading = False
+        self.size = 0
+        self.url = b""
+        self.headers, self.body = Headers(), bytearray()
+
+    # What the parser finds.
+
+    def on_message_begin(self) -> None:
+        self.reading = True
+        if self.served:
+            self.since = self.now
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        headers = self.headers
+        headers.size += len(name) + len(value) + 4
+        if headers.size > MAX_HEAD:
+            raise BadRequest(431, f"the headers are over {MAX_HEAD} bytes")
+        if not headers.whole:  # trailers come here too: they must not pass for headers
+            headers.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        headers, version = self.headers, self.parser.get_http_version()
+        headers.whole = True
+        if version not in ("1.0", "1.1"):
+            raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are spoken here")
+        # The parser passes over codings that it does not know, and HTTP/1.0 has none.
+        if headers.coding is not None and (headers.coding.lower() != b"chunked" or version == "1.0"):
+            raise BadRequest(400, "Transfer-Encoding can only be chunked, and only in HTTP/1.1")
+        if headers.length > MAX_BODY:
+            raise BadRequest(413, f"the body is over {MAX_BODY} bytes")  # before the body has come
+        if headers.expects and not self.busy and not self.waiting:
+            self.side.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if len(self.body) + len(body) > MAX_BODY:
+            raise BadRequest(413, f"the body is over {MAX_BODY} bytes")
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        item = self.whole_request()
+        if isinstance(item, ClientRequest) and not self.side.claim(item.name):
+            # Two that are open under one name could not be told apart by the servers.
+            raise BadRequest(409, "a request of this Request-Id is open")
+        self.waiting.append((item, self.parser.should_keep_alive()))
+        self.served = True
+        self.forget()
+
+    def whole_request(self) -> Item:
+        method = self.parser.get_method()
+        if self.url == HEALTH_PATH:
+            if method != b"GET":
+                raise BadRequest(405, "the health is asked for by GET", b"Allow: GET\r\n")
+            return Health()
+        return self.side.read(method, self.url, self.headers, bytes(self.body))
+
+    def next(self) -> None:
+        """Begin with the next request that has come in whole."""
+        if self.advancing:  # an answer given at once comes back here: a loop, or many would nest too deep
+            return
+        self.advancing = True
+        while not self.busy and not self.full:
+            if not self.waiting and self.backlog:
+                backlog, self.backlog = self.backlog, b""
+                self.parse(backlog)
+            if not self.waiting:
+                break
+            item, self.keep = self.waiting.popleft()
+            self.busy = True
+            self.begin(item)
+        self.advancing = False
+        if self.state is not State.CLOSED:
+            self.place()
+
+    def begin(self, item: Item) -> None:
+        self.move(State.HELD)
+        if isinstance(item, ClientRequest):
+            self.request = item
+            self.side.take(item)
+        elif isinstance(item, BadRequest):
+            content_type, body = self.side.words(item.status, item.why)
+            self.write_answer(item.status, body, content_type, item.extra)
+        elif isinstance(item, Page):
+            self.write_answer(200, item.body(), item.content_type, b"")
+        elif self.side.serves:
+            self.write_answer(200, b"ok\n", b"text/plain", b"")
+        else:
+            self.write_answer(503, b"", b"", b"")
+
+    # Answers out.
+
+    def write_answer(self, status: int, body: bytes, content_type: bytes, extra: bytes) -> None:
+        self.release(self.request)
+        self.request = None
+        # A node that stops still owes an answer to what it has read: the connection ends with the last.
+        keep = self.keep and (bool(self.waiting or self.backlog) or self.side.keeps)
+        lines = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n%b" % (
+            status,
+            PHRASES.get(status, b""),
+            len(body),
+            extra,
+        )
+        if content_type:
+            lines += b"Content-Type: %b\r\n" % content_type
+        self.side.write(b"%b%b\r\n%b" % (lines, b"" if keep else b"Connection: close\r\n", body))
+        self.busy = False
+        if not keep:
+            self.end()
+
+    def end(self) -> None:
+        """After the last answer: a plain close with bytes unread would reset the connection under it."""
+        self.ended = True
+        self.drop_waiting()
+        self.read_on()
+        self.side.finish()
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Mapping
 
 from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
 from badgercart.core.join import Join
 from badgercart.core.ports import Intake
 from badgercart.core.roster import Roster
-from badgercart.fronts.http.clients import ClientConnection, ClientRequest, Listener, platform_requests
+from badgercart.fronts.http.clients import ClientConnection, Listener
+from badgercart.fronts.http.requests import ClientRequest, Page, Words, no_words, platform_requests
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
@@ -29,7 +30,8 @@
         roster: Roster,
         loop: asyncio.AbstractEventLoop,
         share: float = 1.0,  # of the descriptors
-        pages: dict[bytes, Callable[[], bytes]] | None = None,  # what operators may ask for, by path
+        pages: Mapping[bytes, Page] | None = None,  # what operators may ask for, by path
+        words: Words = no_words,  # in which requests that can't be taken are told why
     ) -> None:
         self.config = config
         self.join = join
@@ -40,8 +42,8 @@
         servers = room * 3 // 8
         self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, servers, join.ended)
         roster.on_change.append(self.pool.update)
-        self.listener = Listener(loop, config.listen, self, room - servers, platform_requests(config))
-        self.pages = {} if pages is None else pages
+        self.listener = Listener(loop, config.listen, self, room - servers, platform_requests(config), words)
+        self.pages: Mapping[bytes, Page] = {} if pages is None else pages
 
     @property
     def healthy(self) -> bool:
--- /dev/null
+++ b/badgercart/fronts/http/requests.py
@@ -0,0 +1,210 @@
+"""What a client's request says, and in which words one that can't be taken is turned away. No I/O.
+
+Source: the protocol's page, section "Clients to nodes"; RFC 9110 for fields, RFC 9457 for problems.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import lru_cache
+from http import HTTPStatus
+
+from badgercart.carriers.pool.exchange import MAX_BODY, MAX_HEAD, Message
+from badgercart.config import Config
+from badgercart.core.clock import now_ms
+from badgercart.core.requests import BadDescription, Classifier
+
+MAX_REQUEST = MAX_HEAD + 2 * MAX_BODY  # bytes of a whole request, the framing of its body included
+MAX_WHY = 200  # characters of a reason that go into an answer
+
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+_TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
+_DIGITS = re.compile(rb"\d{1,9}")
+_OWN = frozenset(  # headers that concern one connection only, or that each attempt writes anew
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+     b"expect", b"content-length", b"request-timeout")
+)  # fmt: skip
+
+
+class BadRequest(Exception):
+    """A request that can't be taken: the status, why, and header lines that go with it."""
+
+    def __init__(self, status: int, why: str, extra: bytes = b"") -> None:
+        super().__init__(why)
+        self.status, self.why, self.extra = status, why, extra
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """A checked request."""
+
+    message: Message
+    name: bytes  # its Request-Id
+    cls: int
+    tenant: int
+    key: int
+    sent: float  # as near as the node can tell
+    timeout: float  # ms from then until the client gives up
+    hint: float  # the client's guess at the work in ms, 0: none
+    repeat: bool  # marked as the client's retry
+
+
+class Health:
+    """The front asks whether the node can serve."""
+
+
+@dataclass(slots=True, frozen=True)
+class Page:
+    """What operators may ask a listener for."""
+
+    body: Callable[[], bytes]
+    content_type: bytes = b"application/json"
+
+
+Item = ClientRequest | BadRequest | Health | Page
+
+
+class Headers:
+    """The headers of one request: what the node reads of them, and the lines that go on."""
+
+    __slots__ = (
+        "coding", "expects", "fault", "hint", "key", "length", "lines", "repeat", "request_id", "size",
+        "tenant", "timeout", "whole",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.size = self.length = 0
+        self.expects = self.whole = False
+        self.fault = ""  # what is wrong with them, the first of it
+        self.request_id: bytes | None = None
+        self.tenant: bytes | None = None
+        self.key: bytes | None = None
+        self.coding: bytes | None = None
+        self.timeout: float | None = None
+        self.hint, self.repeat = 0.0, False
+
+    def add(self, name: bytes, value: bytes) -> None:
+        lower = name.lower()
+        if (read := _READ.get(lower)) is not None:
+            read(self, value)
+        if lower not in _OWN:
+            self.lines.append(b"%b: %b\r\n" % (name, value))
+
+    def blame(self, why: str) -> None:
+        self.fault = self.fault or why
+
+    # One for each field that the node reads.
+
+    def read_request_id(self, value: bytes) -> None:
+        if self.request_id is not None:
+            self.blame("Request-Id stands there twice")
+        self.request_id = value
+
+    def read_tenant(self, value: bytes) -> None:
+        if self.tenant is not None:
+            self.blame("Tenant stands there twice")
+        self.tenant = value
+
+    def read_key(self, value: bytes) -> None:
+        if self.key is not None:
+            self.blame("Idempotency-Key stands there twice")
+        elif not value:
+            self.blame("Idempotency-Key is empty")
+        self.key = value
+
+    def read_timeout(self, value: bytes) -> None:
+        match = _TIMEOUT.fullmatch(value)
+        if self.timeout is not None:
+            self.blame("Request-Timeout stands there twice")
+        elif match is None:
+            self.blame("Request-Timeout is no number with a unit, as 480m (ms) or 1500u (µs)")
+        else:
+            self.timeout = float(match[1]) / (1 if match[2] == b"m" else 1000)
+
+    def read_length(self, value: bytes) -> None:
+        self.length = int(value)  # the parser has refused all but digits
+
+    def read_coding(self, value: bytes) -> None:
+        if self.coding is not None:
+            self.blame("Transfer-Encoding stands there twice")
+        self.coding = value
+
+    def read_hint(self, value: bytes) -> None:
+        self.hint = int(value) / 1000 if _DIGITS.fullmatch(value) else 0.0  # a guess may be left out
+
+    def read_repeat(self, value: bytes) -> None:
+        self.repeat = value == b"1"
+
+    def read_expect(self, value: bytes) -> None:
+        self.expects = value.lower() == b"100-continue"
+
+
+_READ: dict[bytes, Callable[[Headers, bytes], None]] = {
+    b"request-id": Headers.read_request_id,
+    b"tenant": Headers.read_tenant,
+    b"idempotency-key": Headers.read_key,
+    b"request-timeout": Headers.read_timeout,
+    b"content-length": Headers.read_length,
+    b"transfer-encoding": Headers.read_coding,
+    b"work-hint": Headers.read_hint,
+    b"client-retry": Headers.read_repeat,
+    b"expect": Headers.read_expect,
+}
+
+# Method, target, headers and body of a whole request into what is taken; BadRequest where it can't be.
+Read = Callable[[bytes, bytes, Headers, bytes], ClientRequest]
+
+
+def platform_requests(config: Config) -> Read:
+    """Reads requests of the platform's protocol."""
+    classifier = Classifier(config)
+
+    def read(method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
+        if headers.fault:
+            raise BadRequest(400, headers.fault)
+        if headers.timeout is None:
+            raise BadRequest(400, "no Request-Timeout")
+        if body and method == b"GET":
+            raise BadRequest(400, "a GET has no body")
+        try:
+            found = classifier.read(method, url, headers.request_id, headers.tenant, headers.key)
+        except BadDescription as error:
+            allow = b"Allow: %b\r\n" % error.allow if error.allow else b""
+            raise BadRequest(error.status, str(error), allow) from None
+        if method == b"POST":
+            headers.lines.append(b"Content-Length: %d\r\n" % len(body))
+        head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
+        return ClientRequest(
+            message=Message(head, body),
+            name=found.name,
+            cls=found.cls,
+            tenant=found.tenant,
+            key=found.key,
+            sent=now_ms(),
+            timeout=headers.timeout,
+            hint=headers.hint,
+            repeat=headers.repeat,
+        )
+
+    return read
+
+
+# In which words: the status and the reason into a content type and a body.
+Words = Callable[[int, str], tuple[bytes, bytes]]
+
+
+def no_words(status: int, why: str) -> tuple[bytes, bytes]:
+    """The platform's node says it by the status alone."""
+    return b"", b""
+
+
+@lru_cache(maxsize=256)  # the same few reasons over and over
+def problem(status: int, why: str) -> tuple[bytes, bytes]:
+    """A problem document (RFC 9457, section 3)."""
+    title = PHRASES.get(status, b"").decode()
+    told = {"type": "about:blank", "title": title, "status": status, "detail": why[:MAX_WHY]}
+    return b"application/problem+json", json.dumps(told).encode()
--- a/badgercart/operator/part.py
+++ b/badgercart/operator/part.py
@@ -15,6 +15,7 @@
 from badgercart.config import Config
 from badgercart.core.join import Join
 from badgercart.core.roster import Roster
+from badgercart.fronts.http.requests import Page
 from badgercart.membership.entries import ListReader
 from badgercart.operator.base import Base
 from badgercart.operator.faults import Path
@@ -61,7 +62,7 @@
     loop: asyncio.AbstractEventLoop
     folder: str  # of the operator's file: what it names relative to itself
     share: float  # of the descriptors, for each part that holds sockets
-    pages: dict[bytes, Callable[[], bytes]] = field(default_factory=dict)  # JSON for operators, by path
+    pages: dict[bytes, Page] = field(default_factory=dict)  # for operators, by path
     list_state: Callable[[], str] = lambda: "of no known age"
 
 
--- a/badgercart/operator/site.py
+++ b/badgercart/operator/site.py
@@ -11,6 +11,7 @@
 from badgercart.core.clock import now_ms
 from badgercart.core.join import Join
 from badgercart.core.roster import Roster
+from badgercart.fronts.http.requests import Page
 from badgercart.membership.entries import ListReader
 from badgercart.operator.base import Base
 from badgercart.operator.faults import Path, dotted
@@ -45,7 +46,7 @@
         declared = what.declared()
         holders = sum(part.sockets for part in declared)
         self.host = Host(config, self.join, self.roster, reader, loop, what.folder, 1 / max(1, holders))
-        self.host.pages[b"/_members"] = self.members_page
+        self.host.pages[b"/_members"] = Page(self.members_page)
         self.steps = in_order(declared)
         self.parts: dict[str, Part] = {}
         for part in (part for step in self.steps for part in step):
--- a/tests/carriers/test_pool.py
+++ b/tests/carriers/test_pool.py
@@ -417,15 +417,15 @@
     async def test() -> None:
         async with running(await Peer().start()) as stand:
             pool = stand.node.pool
-            most = pool.keep_idle
+            most = pool.idle_limit.ms
             for idled, alive in ((50.0, False), (50.0, False), (150.0, False), (140.0, True), (150.0, False)):
-                pool.reused(idled, alive)
-            assert pool.keep_idle == most  # chance, or not for standing idle
-            pool.reused(140.0, False)
-            assert pool.keep_idle == 140.0
+                pool.idle_limit.reused(idled, alive)
+            assert pool.idle_limit.ms == most  # chance, or not for standing idle
+            pool.idle_limit.reused(140.0, False)
+            assert pool.idle_limit.ms == 140.0
             for _ in range(100):
                 pool.sweep()
-            assert pool.keep_idle == most
+            assert pool.idle_limit.ms == most
 
     run(test())
 
@@ -448,7 +448,7 @@
                 (connection,) = pool.servers[stable_id(b"s-1")].idle
                 connection.idle_since -= 1000.0
                 assert (await client.ask(request()))[0] == 503
-            assert 1000.0 <= pool.keep_idle < 5000.0
+            assert 1000.0 <= pool.idle_limit.ms < 5000.0
 
     run(test())
 
--- a/tests/fronts/test_http.py
+++ b/tests/fronts/test_http.py
@@ -16,6 +16,7 @@
 
 from badgercart.core.names import stable_id
 from badgercart.fronts.http import clients
+from badgercart.fronts.http import connection as machine
 from cottonhall.interface import Request, ServerList, Withdrawn
 from tests.net import (
     WAIT,
@@ -404,11 +405,11 @@
             client.writer.write(b"".join(request() for _ in range(400)))
             await asyncio.wait_for(peer.requests.get(), WAIT)
             (connection,) = stand.node.listener.connections
-            assert len(stand.node.listener.open_ids) <= clients.MAX_WAITING + clients.SLICE // 100
+            assert len(stand.node.listener.open_ids) <= machine.MAX_WAITING + machine.SLICE // 100
             release.set()
             for _ in range(400):
                 assert (await client.answer())[0] == 200
-            assert not connection.waiting and not connection.backlog
+            assert not connection.machine.waiting and not connection.machine.backlog
 
     run(test())
 
@@ -436,7 +437,7 @@
             client.writer.transport.pause_reading()
             client.writer.write(b"".join(request() for _ in range(300)) + b"nonsense\r\n\r\n")
             (connection,) = [c async for c in stand.connections(1)]
-            while not connection.full:
+            while not connection.machine.full:
                 await asyncio.sleep(0)
             stand.node.listener.sweep()
             client.writer.transport.resume_reading()
@@ -476,7 +477,7 @@
             client.writer.transport.pause_reading()
             client.writer.write(b"".join(request() for _ in range(300)))
             (connection,) = [c async for c in stand.connections(1)]
-            while not connection.full:
+            while not connection.machine.full:
                 await asyncio.sleep(0)
             assert connection in stand.node.listener.idle  # until it reads, or for KEEP_ALIVE
             taken = stand.node.join.last_id
--- a/tests/net.py
+++ b/tests/net.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from badgercart.carriers.pool.pool import Message
+from badgercart.carriers.pool.exchange import Message
 from badgercart.config import Config
 from badgercart.core.names import stable_id
 from badgercart.core.ports import Order
