--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -12,30 +12,10 @@
 import uvloop
 
 from badgercart.config import Config, ConfigError, read_config
+from badgercart.core.events import Sparse
 from badgercart.node import Node
 
 
-class Sparse(logging.Filter):
-    """Lets a warning, which peers can bring about, through once in a while: they must not fill the log."""
-
-    EVERY = 10.0  # s
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.seen: dict[str, tuple[float, int]] = {}  # by message: when it last came through, left out since
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if record.levelno != logging.WARNING:
-            return True
-        message = str(record.msg)
-        at, left_out = self.seen.get(message, (-self.EVERY, 0))
-        passes = record.created >= at + self.EVERY
-        if passes and left_out:
-            record.msg = f"{message} (and {left_out} more like it)"
-        self.seen[message] = (record.created, 0) if passes else (at, left_out + 1)
-        return passes
-
-
 async def serve(config: Config) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/badgercart/carriers/pool/events.py
@@ -0,0 +1,20 @@
+"""What the server pool says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+MALFORMED_ANSWER = event(
+    "pool.malformed_answer",
+    logging.WARNING,
+    "server %(server)s: malformed answer: %(why)s",
+    "What came is no HTTP answer, or over a limit; the attempt counts as an error. Look at that server.",
+)
+NO_DESCRIPTORS = event(
+    "pool.no_descriptors",
+    logging.WARNING,
+    "no descriptors left for a connection to %(server)s",
+    "All connections to servers are busy; the attempt counts as unreachable. Raise `node.sockets`.",
+)
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
 
 from badgercart.carriers.pool.attempts import OVERDUE, IdleLimit, Life
+from badgercart.carriers.pool.events import MALFORMED_ANSWER, NO_DESCRIPTORS
 from badgercart.carriers.pool.exchange import Done, Exchange, Malformed, Message, Unasked
 from badgercart.config import Address
 from badgercart.core.clock import now_ms
@@ -21,8 +21,6 @@
 LAST_LOOK = 0.001  # s, one turn of the loop, between an attempt's time and its end
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
 
-log = logging.getLogger("badgercart")
-
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -52,6 +50,10 @@
     out: int = 0  # attempts
     idle: list[ServerConnection] = field(default_factory=list)  # the most recently used last
 
+    @property
+    def endpoint(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
 
 class ServerConnection(asyncio.Protocol):
     """One connection; it carries one attempt at a time."""
@@ -109,7 +111,7 @@
             self.transport.abort()
         elif isinstance(found, Malformed):
             self.transport.abort()
-            log.warning("server %s:%d: malformed answer: %s", *self.server.address, found.why)
+            MALFORMED_ANSWER(server=self.server.endpoint, request=attempt.request_id, why=found.why)
             self.pool.end(attempt, Result.ERROR)
         else:
             self.done(attempt, found)
@@ -193,7 +195,7 @@
         """Open a connection for an attempt; no byte has been sent where this fails."""
         server = attempt.server
         if len(self.connections) + self.dials >= self.max_connections and not self.close_an_idle_one():
-            log.warning("no descriptors left for a connection to %s:%d", *server.address)
+            NO_DESCRIPTORS(server=server.endpoint, request=attempt.request_id)
             self.end(attempt, Result.UNREACHABLE)
             return
         self.dials += 1
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections import deque
 from collections.abc import Callable
@@ -14,7 +13,8 @@
 from typing import Any
 
 from badgercart.core.clock import now_ms
-from badgercart.core.ports import Answer, Carrier, Front, Intake, Order, Timers
+from badgercart.core.events import POLICY_FAILED, POLICY_SAID
+from badgercart.core.ports import Answer, Carrier, Final, Front, Intake, Observer, Order, Timers
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
@@ -36,8 +36,6 @@
     Withdrawn,
 )
 
-log = logging.getLogger("badgercart")
-
 
 @dataclass(slots=True)
 class Held:
@@ -46,6 +44,7 @@
     front: Front
     carrier: Carrier
     intake: Intake
+    taken: float  # ms on the join's clock
     sends: int = 0
 
 
@@ -63,6 +62,7 @@
         self.last_id = 0
         self.events: deque[Event] = deque()
         self.handling = False
+        self.observers: tuple[Observer, ...] = ()
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Refuse: self.refuse,
@@ -89,7 +89,7 @@
                         self.perform[type(action)](action)
                 except Exception:
                     # One request must not take the node down with it; it still is owed an answer.
-                    log.warning("the policy failed on %s", type(event).__name__, exc_info=True)
+                    POLICY_FAILED(True, kind=type(event).__name__, request=getattr(event, "id", 0))
                     if isinstance(event, Request | Outcome | Diverted | Resume):
                         self.end(event.id, broken=True)
                     elif isinstance(event, Timer):
@@ -109,6 +109,7 @@
 
     def refuse(self, action: Refuse) -> None:
         if (held := self.held.pop(action.id, None)) is not None:
+            self.over(action.id, held, Final.REFUSED)
             held.front.refused(action.wait)
 
     def fail(self, action: Fail) -> None:
@@ -116,8 +117,15 @@
 
     def end(self, request_id: int, broken: bool) -> None:
         if (held := self.held.pop(request_id, None)) is not None:
+            self.over(request_id, held, Final.FAILED)
             held.front.failed(broken)
 
+    def over(self, request_id: int, held: Held, final: Final, server: int = 0) -> None:
+        if self.observers:
+            took = self.clock() - held.taken
+            for observer in self.observers:
+                observer.over(request_id, held.intake, final, took, server, held.sends)
+
     def cancel(self, action: Cancel) -> None:
         if (carrier := self.out.get((action.id, action.attempt))) is not None:
             carrier.cancel(action.id, action.attempt)
@@ -127,7 +135,7 @@
         self.timers.call_later(math.ceil(action.delay) / 1000, self.tell, Timer(action.token))
 
     def log(self, action: Log) -> None:
-        log.info("%s", action.text)
+        POLICY_SAID(text=action.text)
 
     def subscribe(self, action: Subscribe) -> None:
         """Nothing to do: membership follows the list from its start."""
@@ -141,7 +149,7 @@
 
     def take(self, request_id: int, intake: Intake, front: Front, carrier: Carrier) -> None:
         """Take on a request. The front may be told its answer before this returns."""
-        self.held[request_id] = Held(front, carrier, intake)
+        self.held[request_id] = Held(front, carrier, intake, self.clock())
         event = Request(
             id=request_id,
             cls=intake.cls,
@@ -158,7 +166,8 @@
 
     def withdraw(self, request_id: int) -> None:
         """The client has gone away: nothing is owed any more."""
-        if self.held.pop(request_id, None) is not None:
+        if (held := self.held.pop(request_id, None)) is not None:
+            self.over(request_id, held, Final.WITHDRAWN)
             self.tell(Withdrawn(request_id))
 
     # From carriers.
@@ -184,6 +193,7 @@
             # against them, or one bad client would have them all taken for broken. 429 would be a refusal.
             final, result = True, Result.CANCELLED
         if final and answer is not None and (held := self.held.pop(request_id, None)):
+            self.over(request_id, held, Final.SERVED if answer.status < 400 else Final.FAULTY, server_id)
             held.front.answered(answer)
         over = request_id not in self.held
         self.tell(Outcome(request_id, server_id, over, result, number, elapsed, parked=parked))
--- a/badgercart/core/ports.py
+++ b/badgercart/core/ports.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Protocol
 
 
@@ -22,6 +23,25 @@
     content_type: bytes = b""
 
 
+class Final(Enum):
+    """How a request ended for its client."""
+
+    SERVED = "served"
+    FAULTY = "faulty"  # a server found it at fault: its 4xx was passed on
+    REFUSED = "refused"  # not run
+    FAILED = "failed"  # may have run
+    WITHDRAWN = "withdrawn"  # its client went away
+
+
+class Observer(Protocol):
+    """Whoever watches requests come to their end. It must be quick, and change nothing."""
+
+    def over(
+        self, request_id: int, intake: Intake, final: Final, took: float, server: int, sends: int
+    ) -> None:
+        """A request is over after `took` ms and so many sends; `server` gave the answer, 0: none did."""
+
+
 class Front(Protocol):
     """Whoever owes the answer to one request. Each call is the final one for that request."""
 
@@ -87,3 +107,4 @@
     fallbacks: int = 0  # how many servers beside the first the carrier can turn to by itself
     resumed: bool = False  # earlier attempts, of which this node knows nothing, may have run
     among: frozenset[int] | None = None  # the only servers that the carrier can reach
+    name: bytes = b""  # its Request-Id, for people
--- a/badgercart/core/roster.py
+++ b/badgercart/core/roster.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from badgercart.config import Address
+from badgercart.core.events import LIST_TAKEN
 from badgercart.core.join import Join
 from cottonhall.interface import ListKind, ServerEntry, ServerList, State
 
 MAX_LEFT = 1024  # servers remembered after they left: old answers may name them still
 
-log = logging.getLogger("badgercart")
-
 
 @dataclass(slots=True, frozen=True)
 class Member:
@@ -77,7 +75,12 @@
         if told.members or told.kind is not ListKind.DELTA:
             changed = ", ".join(f"{m.name} {m.entry.state.name.lower()}" for m in told.members[:4])
             more = f" and {len(told.members) - 4} more" if len(told.members) > 4 else ""
-            log.info("list %d, %s: %s%s", told.version, told.kind.name.lower(), changed, more)
+            LIST_TAKEN(
+                version=told.version,
+                kind=told.kind.name.lower(),
+                changed=changed + more,
+                listed=len(self.listed),
+            )
         self.told = True
         self.version = told.version
         if not self.suspended:
--- /dev/null
+++ b/badgercart/fronts/graphql/events.py
@@ -0,0 +1,20 @@
+"""What the GraphQL front says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+LISTENING = event(
+    "graphql.listening",
+    logging.INFO,
+    "GraphQL listens on %(host)s:%(port)d%(path)s",
+    "The front takes connections.",
+)
+PLAN_FAILED = event(
+    "graphql.plan_failed",
+    logging.WARNING,
+    "a GraphQL request could not be planned",
+    "A fault of ours: the request got its 500, the node goes on. Report it with the traceback.",
+)
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,6 +22,7 @@
 from badgercart.core.requests import unknown_tenant
 from badgercart.core.roster import Roster
 from badgercart.fronts.graphql.documents import Documents, Rejected
+from badgercart.fronts.graphql.events import LISTENING, PLAN_FAILED
 from badgercart.fronts.graphql.execution import Execution, Order, PartCall
 from badgercart.fronts.graphql.mapping import read_schema
 from badgercart.fronts.graphql.merge import Outcome
@@ -47,8 +47,6 @@
 
 MAX_KEY = 256  # bytes of a client's idempotency key
 
-log = logging.getLogger("badgercart")
-
 
 @dataclass(slots=True)
 class GraphqlRequest(ClientRequest):
@@ -201,7 +199,7 @@
             return
         except Exception:
             # One request must not take the node down with it.
-            log.warning("a GraphQL request could not be planned", exc_info=True)
+            PLAN_FAILED(True, request=request.name.decode("latin-1"))
             client.failed(broken=True)
             return
         client.request_id = number = self.join.number()
@@ -275,7 +273,8 @@
 
     def start(self) -> None:
         self.listener.start()
-        log.info("GraphQL listens on %s:%d%s", *self.listener.address, self.settings.path)
+        host, port = self.listener.address
+        LISTENING(host=host, port=port, path=self.settings.path)
 
     async def drain(self, until: float) -> None:
         """Take what still comes and answer all that is held, until then (ms) at most."""
--- a/badgercart/fronts/graphql/part.py
+++ b/badgercart/fronts/graphql/part.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from badgercart.fronts.graphql.settings import GraphqlSettings
+from badgercart.fronts.http.part import register
 from badgercart.operator.faults import Path
 from badgercart.operator.part import Checked, Declaration, Host, Kind
 from cottonhall.interface import Effect
@@ -26,6 +27,8 @@
             host.config, settings, host.join, host.roster, host.loop, host.share, FilePath(host.folder)
         )
 
+        register(host.meters, "graphql", self.front.listener)
+
     async def start(self) -> None:
         self.front.start()
 
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import logging
 import socket
 from collections import Counter
 from collections.abc import Mapping
@@ -14,6 +13,7 @@
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer
 from badgercart.fronts.http.connection import Connection, State
+from badgercart.fronts.http.events import ACCEPT_FAILED
 from badgercart.fronts.http.requests import (
     BadRequest,
     ClientRequest,
@@ -35,8 +35,6 @@
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 
-log = logging.getLogger("badgercart")
-
 
 class Handler(Protocol):
     """What takes the requests."""
@@ -159,7 +157,7 @@
             except OSError as error:
                 if error.errno == errno.ECONNABORTED:  # the client was quicker
                     continue
-                log.warning("can't accept: %s", error)
+                ACCEPT_FAILED(error=error)
                 self.pause()  # no descriptor or memory now; the next sweep tries again
                 return
             sock.setblocking(False)
--- /dev/null
+++ b/badgercart/fronts/http/events.py
@@ -0,0 +1,26 @@
+"""What the HTTP front says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+LISTENING = event(
+    "http.listening",
+    logging.INFO,
+    "%(name)s listens on %(host)s:%(port)d",
+    "The front takes connections.",
+)
+STOPPING = event(
+    "http.stopping",
+    logging.INFO,
+    "stopping: %(held)d requests held",
+    "SIGTERM: what still comes is taken for 0.6 s, and all that is held is answered.",
+)
+ACCEPT_FAILED = event(
+    "http.accept_failed",
+    logging.WARNING,
+    "can't accept: %(error)s",
+    "No descriptor or memory for a client now; the listener tries again. Raise `node.sockets` and the limit.",
+)
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Mapping
 
 from badgercart.carriers.pool.pool import ServerPool
@@ -12,13 +11,12 @@
 from badgercart.core.ports import Intake
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.clients import ClientConnection, Listener
+from badgercart.fronts.http.events import LISTENING, STOPPING
 from badgercart.fronts.http.requests import ClientRequest, Page, Words, no_words, platform_requests
 
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
 
-log = logging.getLogger("badgercart")
-
 
 class HttpFront:
     """A listener for HTTP clients and the connections to the servers, within one limit of descriptors."""
@@ -59,6 +57,7 @@
             work=request.message,
             hint=request.hint,
             repeat=request.repeat,
+            name=request.name,
         )
         self.join.take(client.request_id, intake, client, self.pool)
 
@@ -67,12 +66,13 @@
 
     def start(self) -> None:
         self.listener.start()
-        log.info("%s listens on %s:%d", self.config.name, *self.listener.address)
+        host, port = self.listener.address
+        LISTENING(name=self.config.name, host=host, port=port)
 
     async def drain(self, until: float) -> None:
         """Take what still comes and answer all that is held, until then (ms) at most."""
         self.stopping = True
-        log.info("stopping: %d requests held", len(self.join.held))
+        STOPPING(held=len(self.join.held))
         await self.listener.drain(until)
 
     def close(self) -> None:
--- a/badgercart/fronts/http/part.py
+++ b/badgercart/fronts/http/part.py
@@ -8,10 +8,12 @@
 
 from pydantic import Field
 
+from badgercart.core.meters import Meters
 from badgercart.operator.model import Address, Table
 from badgercart.operator.part import Declaration, Host, Kind
 
 if TYPE_CHECKING:
+    from badgercart.fronts.http.clients import Listener
     from badgercart.fronts.http.front import HttpFront
 
 
@@ -21,14 +23,31 @@
     listen: Address = Field(description="the host:port to listen on")
 
 
+def register(meters: Meters, name: str, listener: Listener) -> None:
+    """The figures of a listener for clients."""
+    meters.gauge(
+        f"badgercart_{name}_connections", "Connections of clients.", lambda: len(listener.connections)
+    )
+    meters.counter(
+        f"badgercart_{name}_turned_away",
+        "Requests that could not be taken, by status.",
+        lambda: {str(status): count for status, count in listener.turned_away.items()},
+        "status",
+    )
+
+
 class HttpPart:
     """Clients by the platform's protocol, and operators' pages on the same listener."""
 
     def __init__(self, host: Host, settings: HttpSettings) -> None:
         from badgercart.fronts.http.front import HttpFront
+        from badgercart.fronts.http.requests import problem
 
         config = replace(host.config, listen=settings.listen)
-        self.front: HttpFront = HttpFront(config, host.join, host.roster, host.loop, host.share, host.pages)
+        self.front: HttpFront = HttpFront(
+            config, host.join, host.roster, host.loop, host.share, host.pages, problem
+        )
+        register(host.meters, "http", self.front.listener)
 
     async def start(self) -> None:
         self.front.start()
--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -21,7 +21,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections import OrderedDict
 from collections.abc import Callable
@@ -36,12 +35,11 @@
 from badgercart.core.roster import Member, Roster
 from badgercart.fronts.processor.account import Account, Proxy, Standing
 from badgercart.fronts.processor.description import Described
+from badgercart.fronts.processor.events import OLD_ANSWERS
 from badgercart.fronts.processor.outcomes import Phase, harmless, read_end
 from badgercart.fronts.processor.settings import ProcessorSettings
 from cottonhall.interface import Result
 
-log = logging.getLogger("badgercart")
-
 MARGIN = 30.0  # ms kept back from a client's time: the answer must be out in time from a late loop too
 
 
@@ -240,6 +238,7 @@
             fallbacks=self.settings.fallbacks if standing is Standing.GOOD else 0,
             resumed=resumed,
             among=self.among(subset) if subset else None,
+            name=described.name,
         )
         self.join.take(call.number, intake, call, call)
 
@@ -414,7 +413,7 @@
         before = self.account.standing(proxy, now)
         after = self.account.used_old(proxy, drained, now)
         if before is not after:
-            log.info("proxy %s uses old answers: %s, was %s", proxy.name, after.value, before.value)
+            OLD_ANSWERS(proxy=proxy.name, standing=after.value, was=before.value)
         if gone:
             return Result.NOT_SENT
         self.divert(call, Result.NOT_SENT, at)
--- a/badgercart/fronts/processor/part.py
+++ b/badgercart/fronts/processor/part.py
@@ -21,6 +21,18 @@
 
         self.front: Processor = Processor(host.config, settings, host.join, host.roster, host.loop)
 
+        front, meters = self.front, host.meters
+        meters.gauge("badgercart_processor_streams", "Streams that are open.", lambda: len(front.connections))
+        meters.gauge(
+            "badgercart_processor_calls", "Requests of proxies that are open.", lambda: len(front.calls.open)
+        )
+        meters.counter(
+            "badgercart_processor_old_answers",
+            "Uses of answers beyond their age, by proxy.",
+            lambda: {name: proxy.old for name, proxy in front.calls.account.proxies.items()},
+            "proxy",
+        )
+
     async def start(self) -> None:
         await self.front.start()
 
--- a/badgercart/fronts/processor/server.py
+++ b/badgercart/fronts/processor/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 from collections import deque
 from pathlib import Path
 from typing import Any
@@ -17,7 +16,7 @@
 from badgercart.core.join import Join
 from badgercart.core.requests import BadDescription
 from badgercart.core.roster import Roster
-from badgercart.fronts.processor import messages
+from badgercart.fronts.processor import events, messages
 from badgercart.fronts.processor.description import Describer
 from badgercart.fronts.processor.machine import At, Calls, Illegal, Reply, Stream
 from badgercart.fronts.processor.settings import ProcessorSettings, Tls
@@ -31,8 +30,6 @@
 DRAIN_LOOK = 0.02  # s between looks whether all calls are over
 MAX_NAME = 128  # characters of a proxy's name
 
-log = logging.getLogger("badgercart")
-
 
 class TlsError(OSError):
     """PEM files that can't be used."""
@@ -139,16 +136,16 @@
         self.address = (host, port)
         await self.server.start()
         self.sweep()
-        log.info("the processor listens on %s:%d%s", host, port, " with TLS" if self.certificate else "")
+        events.LISTENING(host=host, port=port, tls=" with TLS" if self.certificate else "")
 
     def replace_certificate(self, certificate: Any) -> None:
         """Connections that are open stay as they are."""
         self.certificate = certificate
-        log.info("the processor's certificate was read anew")
+        events.CERTIFICATE_READ()
 
     async def drain(self, until: float) -> None:
         """Take what still comes, see all calls to their end, until then (ms) at most, then end."""
-        log.info("the processor stops: %d calls open", len(self.calls.open))
+        events.STOPPING(open=len(self.calls.open))
         await asyncio.sleep(ACCEPT_FOR)
         stopping = self.loop.create_task(self.server.stop(max(0.0, until - now_ms()) / 1000))
         quiet = 0
@@ -187,14 +184,14 @@
     async def process(self, _: Any, context: Any) -> None:
         """`ExternalProcessor.Process`."""
         if len(self.connections) >= self.settings.max_streams:
-            log.warning("a stream over the limit was turned away")
+            events.OVER_LIMIT()
             await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many streams are open")
         connection = Connection(self.name(context))
         self.connections.add(connection)
         try:
             await self.drive(connection, context)
         except Illegal as error:
-            log.warning("a proxy broke the protocol: %s", error)
+            events.PROTOCOL_BROKEN(error=error, proxy=connection.stream.proxy)
             self.end(connection)
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         except asyncio.CancelledError:
--- a/badgercart/membership/catalog.py
+++ b/badgercart/membership/catalog.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import random
 from collections.abc import Callable
 from typing import Any
@@ -12,6 +11,7 @@
 import httptools
 
 from badgercart.config import Address
+from badgercart.membership.events import CATALOG_BROKEN, CATALOG_FAILED
 
 PATH = "/catalog/members"
 # An empty line is due every 2 s, and a change counts as told after 6 s, also one that never arrived: a
@@ -21,8 +21,6 @@
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
 MAX_LINE = 8 << 20  # bytes
 
-log = logging.getLogger("badgercart")
-
 
 class DiscoveryError(Exception):
     """A call that gave no list, or a watch that ended: what came instead."""
@@ -92,11 +90,11 @@
                 await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
                 if not self.failing:  # one line for each stretch of failures
-                    log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
+                    CATALOG_FAILED(error=str(error) or type(error).__name__)
                 self.failing = True
             except Exception:
                 # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
-                log.exception("discovery: unforeseen failure; the whole list is fetched")
+                CATALOG_BROKEN(True)
                 self.version = None
             # Nodes that lost discovery together must not come back together.
             await asyncio.sleep(self.retry * (0.5 + self.random.random()))
--- a/badgercart/membership/etcd/client.py
+++ b/badgercart/membership/etcd/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import os
 import random
 from collections.abc import Callable
@@ -16,8 +15,10 @@
 from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
 
 from badgercart.core.roster import Member, MemberList
+from badgercart.membership.etcd import events
 from badgercart.membership.etcd import follower as machine
 from badgercart.membership.etcd.settings import EtcdSettings
+from badgercart.membership.events import LIST_DOUBTFUL, LIST_FRESH, LIST_STALE
 from badgercart.membership.freshness import Freshness, Rule, State
 
 SAVE_EVERY = 5.0  # s between writes of the known file
@@ -26,7 +27,8 @@
 # A network that goes silent under a connection is noticed within these times even where nothing is asked.
 KEEPALIVE = (("grpc.keepalive_time_ms", 2000), ("grpc.keepalive_timeout_ms", 1000))
 
-log = logging.getLogger("badgercart")
+
+AGED = {State.FRESH: LIST_FRESH, State.DOUBTFUL: LIST_DOUBTFUL, State.STALE: LIST_STALE}
 
 
 class Ended(Exception):
@@ -149,19 +151,23 @@
                 await self.follow()
             except Ended as ended:
                 if not self.failing:  # one line for each stretch of failures
-                    where = "{}:{}".format(*self.settings.endpoints[self.member])
-                    log.warning("etcd at %s: %s", where, ended)
+                    events.FAILED(endpoint=self.endpoint, error=ended)
                 self.failing = True
                 delay = self.obey_wait(self.follower.failed(ended.failure))
             except LeaveStream as left:
                 delay = self.wait(left.wait)
             except Exception:
                 # Whatever it was: a follower that dies of it would leave the node with its list for ever.
-                log.exception("etcd: unforeseen failure; the whole list is fetched")
+                events.BROKEN(True)
                 self.follower.forget()
                 delay = self.obey_wait(self.follower.failed(machine.Failure.OTHER))
             await asyncio.sleep(delay / 1000)
 
+    @property
+    def endpoint(self) -> str:
+        """The member that is asked."""
+        return "{}:{}".format(*self.settings.endpoints[self.member])
+
     def obey_wait(self, orders: list[machine.Order]) -> float:
         (order,) = orders
         assert isinstance(order, machine.Wait)
@@ -215,7 +221,7 @@
             self.on_list(order.told)
             self.save_later()
         elif isinstance(order, machine.Report):
-            log.warning("etcd: %s", order.text)
+            events.REPORT(text=order.text)
         elif isinstance(order, machine.Proven):
             self.proven()
         elif isinstance(order, machine.Wait):
@@ -332,7 +338,7 @@
             self.freshness.proof(self.asked)
             self.asked = 0.0
         if self.failing:
-            log.info("etcd at %s:%d answers", *self.settings.endpoints[self.member])
+            events.ANSWERS(endpoint=self.endpoint)
             self.failing = False
         self.look()
 
@@ -341,9 +347,8 @@
         now = self.clock()
         state = self.freshness.state(now)
         if state is not self.state:
-            level = logging.INFO if state is State.FRESH else logging.WARNING
-            age = self.freshness.age(now) / 1000
-            log.log(level, "the server list is %s: %.1f s old, was %s", state.value, age, self.state.value)
+            age = f"{self.freshness.age(now) / 1000:.1f}"
+            AGED[state](age=age, was=self.state.value, version=self.follower.revision)
             self.state = state
             self.on_state(state)
         if self.timer is not None:
@@ -366,7 +371,7 @@
         except FileNotFoundError:
             return None
         except (OSError, ValueError, RecursionError) as error:
-            log.warning("%s can't be used: %s", path, error)
+            events.KNOWN_UNUSABLE(path=path, error=error)
             return None
 
     def save_later(self) -> None:
@@ -382,7 +387,7 @@
                 replace_file, Path(self.settings.known_file or ""), json.dumps(raw).encode()
             )
         except OSError as error:
-            log.warning("the known list was not written: %s", error)
+            events.KNOWN_UNWRITTEN(error=error)
 
 
 class LeaveStream(Exception):
--- a/badgercart/membership/etcd/part.py
+++ b/badgercart/membership/etcd/part.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import gc
-import logging
 import random
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
+from badgercart.core.events import LIST_KNOWN_MALFORMED
 from badgercart.core.roster import MemberList
 from badgercart.membership.etcd.settings import EtcdSettings
 from badgercart.membership.freshness import State
@@ -20,8 +20,6 @@
 
 LONG_LIST = 1000  # servers
 
-log = logging.getLogger("badgercart")
-
 
 class EtcdPart:
     """The list from etcd, with its age; SIGHUP takes all of its settings anew."""
@@ -39,6 +37,14 @@
             random.Random(host.config.seed),
         )
         host.list_state = lambda: self.source.state.value
+        host.meters.gauge(
+            "badgercart_list_age_seconds",
+            "Time since the list was whole for sure.",
+            lambda: self.source.freshness.age(host.join.clock()) / 1000,
+        )
+        host.meters.counter(
+            "badgercart_etcd_lists", "Whole lists fetched from etcd.", lambda: self.source.lists
+        )
 
     def take(self, told: MemberList) -> None:
         self.roster.apply(told)
@@ -55,7 +61,7 @@
             try:
                 self.roster.take(known, ListKind.CACHED)
             except ValueError as error:
-                log.warning("the known list is malformed: %s", error)
+                LIST_KNOWN_MALFORMED(error=error)
 
     def prepare(self, settings: EtcdSettings) -> Callable[[], None]:
         return lambda: self.source.move(settings)
--- /dev/null
+++ b/badgercart/membership/events.py
@@ -0,0 +1,38 @@
+"""What the platform's catalog, and any list with an age, says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+CATALOG_FAILED = event(
+    "catalog.failed",
+    logging.WARNING,
+    "discovery: %(error)s; the list stays as it is",
+    "The catalog does not answer as it should; once for each stretch of failures, and tried again.",
+)
+CATALOG_BROKEN = event(
+    "catalog.broken",
+    logging.ERROR,
+    "discovery: unforeseen failure; the whole list is fetched",
+    "A fault of ours; the node goes on. Report it with the traceback.",
+)
+LIST_FRESH = event(
+    "list.fresh",
+    logging.INFO,
+    "the server list is fresh: %(age)s s old, was %(was)s",
+    "All is well again.",
+)
+LIST_DOUBTFUL = event(
+    "list.doubtful",
+    logging.WARNING,
+    "the server list is doubtful: %(age)s s old, was %(was)s",
+    "No answer lately; look at the list's source and the network.",
+)
+LIST_STALE = event(
+    "list.stale",
+    logging.WARNING,
+    "the server list is stale: %(age)s s old, was %(was)s",
+    "The node refuses, or goes on by the list it has, as `when_stale` says.",
+)
--- /dev/null
+++ b/badgercart/metrics/events.py
@@ -0,0 +1,14 @@
+"""What the metrics listener says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+LISTENING = event(
+    "metrics.listening",
+    logging.INFO,
+    "metrics listen on %(host)s:%(port)d",
+    "Figures can be scraped at `/metrics`.",
+)
--- /dev/null
+++ b/badgercart/metrics/part.py
@@ -0,0 +1,81 @@
+"""The metrics listener as a part of an installation."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
+
+from pydantic import Field
+
+from badgercart.fronts.http.requests import BadRequest, ClientRequest, Headers, Page, problem
+from badgercart.metrics.events import LISTENING
+from badgercart.operator.model import Address, Table
+from badgercart.operator.part import Declaration, Host, Kind
+
+if TYPE_CHECKING:
+    from badgercart.fronts.http.clients import ClientConnection
+
+PATH = b"/metrics"
+MAX_CONNECTIONS = 16  # of those who scrape: one more makes the longest idle one go
+
+
+class MetricsSettings(Table):
+    """a listener that shows figures by Prometheus's text format, at /metrics"""
+
+    listen: Address = Field(description="the host:port to listen on")
+
+
+class MetricsPart:
+    """Pages only: no request is taken here. It ends with the last front, so that a drain can be watched."""
+
+    def __init__(self, host: Host, settings: MetricsSettings) -> None:
+        from badgercart.fronts.http.clients import Listener
+        from badgercart.metrics.figures import CONTENT_TYPE, Figures
+
+        config = host.config
+        names = [name.decode() for name in config.classes]
+        self.figures = Figures(names, config.settings.classes, host.meters)
+        host.join.observers += (self.figures,)
+        self.pages: Mapping[bytes, Page] = {PATH: Page(self.figures.page, CONTENT_TYPE)}
+        self.stopping = False
+        self.healthy = True
+        self.listener = Listener(host.loop, settings.listen, self, MAX_CONNECTIONS, self.read, problem)
+
+    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> ClientRequest:
+        raise BadRequest(404, f"figures are at {PATH.decode()}")
+
+    def take(self, client: ClientConnection, request: ClientRequest) -> None:
+        raise AssertionError("no request is taken here")
+
+    def withdraw(self, request_id: int) -> None:
+        """There is none."""
+
+    async def start(self) -> None:
+        self.listener.start()
+        host, port = self.listener.address
+        LISTENING(host=host, port=port)
+
+    def prepare(self, settings: MetricsSettings) -> Callable[[], None] | None:
+        """Nothing here changes without a restart."""
+        return None
+
+    async def drain(self, until: float) -> None:
+        """The fronts are drained by now; whoever scrapes comes again elsewhere."""
+        self.stopping = True
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+PARTS = (
+    Declaration(
+        name="metrics",
+        key=("metrics",),
+        kind=Kind.SERVICE,
+        settings=MetricsSettings,
+        about="a listener that shows figures by Prometheus's text format, at /metrics",
+        build=MetricsPart,
+        extra="operator",
+        libraries=("prometheus_client",),
+    ),
+)
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import random
 from collections.abc import Mapping
 from typing import Any
 
 from badgercart.config import Config, ConfigError, reread_discovery
 from badgercart.core.clock import now_ms
+from badgercart.core.events import CONFIG_KEPT, CONFIG_READ, LIST_KNOWN_MALFORMED, STOPPED
 from badgercart.core.join import Join
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.clients import ACCEPT_FOR
@@ -18,8 +18,6 @@
 from badgercart.membership.entries import ListReader
 from cottonhall.interface import ListKind
 
-log = logging.getLogger("badgercart")
-
 
 class Node:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
@@ -33,7 +31,7 @@
             try:
                 self.discovery.version = self.take_list(config.known, ListKind.CACHED)
             except ValueError as error:
-                log.warning("the known list is malformed: %s", error)
+                LIST_KNOWN_MALFORMED(error=error)
 
     def take_list(self, raw: dict[str, Any], kind: ListKind | None = None) -> int:
         """Take over a list or its changes; ValueError, and nothing taken, if any line of it is bad."""
@@ -48,16 +46,16 @@
         try:
             address = reread_discovery(environ)
         except ConfigError as error:
-            log.error("the configuration stays as it was: %s", error)
+            CONFIG_KEPT(faults=error)
             return
-        log.info("configuration read: discovery at %s:%d", *address)
+        CONFIG_READ(what=": discovery at {}:{}".format(*address))
         self.discovery.move(address)
 
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
         await self.front.drain(now_ms() + ACCEPT_FOR * 1000 + self.config.longest)
         self.close()  # the list is followed to the end: what is held may still be sent again
-        log.info("stopped")
+        STOPPED()
 
     def close(self) -> None:
         self.front.close()
--- a/badgercart/operator/base.py
+++ b/badgercart/operator/base.py
@@ -10,6 +10,7 @@
 
 from badgercart.config import Config
 from badgercart.operator.faults import Path
+from badgercart.operator.logs import Log
 from badgercart.operator.model import LONG, Listed, Name, Names, Table
 from cottonhall.interface import Effect, Group, RequestClass, Settings
 
@@ -104,6 +105,7 @@
     node: Node = Node()
     fleet: Fleet = Fleet()
     retry: Retry = Retry()
+    log: Log = Log()
     class_: Annotated[tuple[Class, ...], Listed] = Field(alias="class", description="a class of requests")
     tenant: Annotated[tuple[Tenant, ...], Listed] = Field((), description="a tenant and its share")
 
--- a/badgercart/operator/cli.py
+++ b/badgercart/operator/cli.py
@@ -16,7 +16,7 @@
 import uvloop
 from click.shell_completion import get_completion_class
 
-from badgercart.operator import render
+from badgercart.operator import logs, render
 from badgercart.operator.console import show_table
 from badgercart.operator.exits import CommandError, Exit
 from badgercart.operator.faults import FileError
@@ -71,10 +71,14 @@
 def serve(file: str) -> None:
     """Start what an operator's file switches on."""
     what = loaded(file)
+    assert what.base is not None
+    sink = logs.open_sink(what.config.name, what.base.log)
     try:
         uvloop.run(run(file, what))
     except PartError as error:
         raise CommandError(str(error), Exit.USAGE) from None
+    finally:
+        logs.close_sink(sink)
 
 
 @cli.command()
--- a/badgercart/operator/locate.py
+++ b/badgercart/operator/locate.py
@@ -58,6 +58,7 @@
             table = (*path, counts.get(path, 0))
             counts[path] = counts.get(path, 0) + 1
             found[table] = line
-        found.setdefault(path, line)
+        for length in range(1, len(path) + 1):  # a header makes the tables above it, too
+            found.setdefault(path[:length], line)
         pairs(node, table)
     return found
--- a/badgercart/operator/part.py
+++ b/badgercart/operator/part.py
@@ -14,6 +14,7 @@
 
 from badgercart.config import Config
 from badgercart.core.join import Join
+from badgercart.core.meters import Meters
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.requests import Page
 from badgercart.membership.entries import ListReader
@@ -63,6 +64,7 @@
     folder: str  # of the operator's file: what it names relative to itself
     share: float  # of the descriptors, for each part that holds sockets
     pages: dict[bytes, Page] = field(default_factory=dict)  # for operators, by path
+    meters: Meters = field(default_factory=Meters)  # figures for operators
     list_state: Callable[[], str] = lambda: "of no known age"
 
 
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -4,10 +4,12 @@
 
 from functools import cache
 from importlib import import_module
+from importlib.util import find_spec
 
 from badgercart.operator.part import Declaration
 
 PARTS = (
+    "badgercart.metrics.part",
     "badgercart.membership.part",
     "badgercart.membership.etcd.part",
     "badgercart.fronts.http.part",
@@ -16,6 +18,14 @@
 )
 
 
+def load_events(modules: tuple[str, ...] = PARTS) -> None:
+    """Fill the table of log events: those beside each part, the pool's and the operator's."""
+    for module in (*modules, "badgercart.carriers.pool.part", "badgercart.operator.part"):
+        name = f"{module.rpartition('.')[0]}.events"
+        if find_spec(name) is not None:
+            import_module(name)
+
+
 @cache
 def declarations(modules: tuple[str, ...] = PARTS) -> tuple[Declaration, ...]:
     """What each module declares, in the order of the lines."""
--- a/badgercart/operator/render.py
+++ b/badgercart/operator/render.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import re
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Literal, get_args, get_origin
@@ -12,11 +13,12 @@
 from pydantic.fields import FieldInfo
 from pydantic_core import PydanticUndefined
 
+from badgercart.core.events import TABLE
 from badgercart.operator import document
 from badgercart.operator.faults import Path, below, dotted, fields_of, many
 from badgercart.operator.file import describe, root_model
 from badgercart.operator.locate import lines_of
-from badgercart.operator.registry import declarations
+from badgercart.operator.registry import declarations, load_events
 
 SCHEMA = "https://json-schema.org/draft/2020-12/schema"
 
@@ -205,7 +207,22 @@
     raise LookupError(f"there is no table {name!r}")
 
 
-MADE: dict[str, Callable[[str], str]] = {"settings": _settings}
+def _events(prefixes: str) -> str:
+    """The table of log events of these subsystems, in the order of their names."""
+    load_events()
+    wanted = tuple(f"{prefix.strip()}." for prefix in prefixes.split(","))
+    found = [event for name, event in sorted(TABLE.items()) if name.startswith(wanted)]
+    if not found:
+        raise LookupError(f"no event's name begins with {prefixes!r}")
+    rows = ["| event | level | message | meaning and remedy |", "| --- | --- | --- | --- |"]
+    for event in found:
+        words = re.sub(r"%\((\w+)\)[sd]", r"<\1>", event.words)
+        level = logging.getLevelName(event.level).lower()
+        rows.append(f"| `{event.name}` | {level} | `{words}` | {event.meaning} |")
+    return "\n".join(rows)
+
+
+MADE: dict[str, Callable[[str], str]] = {"settings": _settings, "events": _events}
 MARK = re.compile(r"<!-- (\w+): ([\w., ]+) -->\n.*?<!-- end -->", re.DOTALL)
 
 
--- a/badgercart/operator/run.py
+++ b/badgercart/operator/run.py
@@ -4,28 +4,30 @@
 
 import asyncio
 import gc
-import logging
 import signal
 from collections.abc import Callable
 
+from badgercart.core.events import CONFIG_KEPT, CONFIG_READ
+from badgercart.operator import logs
+from badgercart.operator.events import STOPPED_EARLY
 from badgercart.operator.faults import FileError
 from badgercart.operator.file import Installation, load
 from badgercart.operator.site import Site
 
-log = logging.getLogger("badgercart")
-
 
 def reload(site: Site, path: str) -> None:
     """Read the file anew, on SIGHUP; one that is wrong changes nothing."""
     try:
         fresh = load(path, known=site.what.known)
     except FileError as error:
-        log.error("the configuration stays as it was: %s", str(error).replace("\n", "; "))
+        CONFIG_KEPT(faults=str(error).replace("\n", "; "))
         return
     if faults := site.reload(fresh):
-        log.error("the configuration stays as it was: %s", "; ".join(faults))
-    else:
-        log.info("configuration read")
+        CONFIG_KEPT(faults="; ".join(faults))
+        return
+    if fresh.base is not None:
+        logs.set_level(fresh.base.log)
+    CONFIG_READ(what="")
 
 
 async def run(path: str, what: Installation, started: Callable[[Site], None] = lambda site: None) -> None:
@@ -34,13 +36,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     site = Site(what, loop)
+    site.join.observers += (logs.RequestLog(what.config, site.roster),)
     stopping = asyncio.ensure_future(stop.wait())
     starting = asyncio.ensure_future(site.start())
     await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
     if not starting.done():
         starting.cancel()
         await asyncio.wait((starting,))
-        log.info("stopped during the start")
+        STOPPED_EARLY()
         return
     starting.result()
     gc.collect()
--- a/badgercart/operator/site.py
+++ b/badgercart/operator/site.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import json
-import logging
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from badgercart.core.clock import now_ms
+from badgercart.core.events import STOPPED
 from badgercart.core.join import Join
+from badgercart.core.meters import Meters
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.requests import Page
 from badgercart.membership.entries import ListReader
+from badgercart.operator import events
 from badgercart.operator.base import Base
 from badgercart.operator.faults import Path, dotted
 from badgercart.operator.file import Installation
@@ -22,8 +25,6 @@
 ACCEPT_FOR = 600.0  # ms after SIGTERM during which clients may still come
 GRACE = 300.0  # ms beyond the deadline of a drain, after which a part that hangs is closed as it stands
 
-log = logging.getLogger("badgercart")
-
 
 class PartError(Exception):
     """A part that does not start: its name, and why."""
@@ -47,6 +48,7 @@
         holders = sum(part.sockets for part in declared)
         self.host = Host(config, self.join, self.roster, reader, loop, what.folder, 1 / max(1, holders))
         self.host.pages[b"/_members"] = Page(self.members_page)
+        self.register(self.host.meters)
         self.steps = in_order(declared)
         self.parts: dict[str, Part] = {}
         for part in (part for step in self.steps for part in step):
@@ -56,6 +58,33 @@
                 self.close()
                 raise PartError(part.name, error) from error
 
+    def register(self, meters: Meters) -> None:
+        """What every installation can be asked for."""
+        join, policy, listed = self.join, self.join.policy, self.roster.listed
+        meters.gauge(
+            "badgercart_cut", "The score below which requests are refused, 0 to 100.", lambda: policy.cut
+        )
+        meters.gauge(
+            "badgercart_overload", "The overload x that the cut rises with, 0 to 1.", lambda: policy.x
+        )
+        meters.gauge("badgercart_held", "Requests that are owed an answer.", lambda: len(join.held))
+        meters.gauge("badgercart_attempts_out", "Attempts that are out.", lambda: len(join.out))
+        meters.gauge(
+            "badgercart_need", "Attempts that a busy fleet needs out to be kept busy.", lambda: policy.need
+        )
+        meters.gauge(
+            "badgercart_servers",
+            "Servers of the list, by state.",
+            lambda: Counter(member.entry.state.name.lower() for member in listed.values()),
+            "state",
+        )
+        meters.gauge("badgercart_list_version", "The version of the list.", lambda: self.roster.version)
+        meters.gauge(
+            "badgercart_list_suspended",
+            "1 while the list is too old to send anything by it.",
+            lambda: float(self.roster.suspended),
+        )
+
     def members_page(self) -> bytes:
         """What this node believes of the list, for `members list --from-node`."""
         names = {State.READY: "active", State.DRAINING: "leaving"}
@@ -98,7 +127,7 @@
             for commit in commits:
                 commit()
             if restart := list(self.needs_restart(fresh)):
-                log.warning("takes a restart, and stays as it was: %s", ", ".join(restart))
+                events.RESTART_NEEDED(settings=", ".join(restart))
             self.remember(fresh)
         return faults
 
@@ -106,7 +135,7 @@
         """Settings that differ from those in force and that SIGHUP does not change."""
         old = self.what
         if old.base is not None and fresh.base is not None:
-            for name in Base.model_fields:  # those that are no part's
+            for name in Base.model_fields.keys() - {"log"}:  # those that are no part's
                 yield from differing(getattr(old.base, name), getattr(fresh.base, name), (name.rstrip("_"),))
         for part in self.what.known:
             was, now = old.parts.get(part.name), fresh.parts.get(part.name)
@@ -129,7 +158,7 @@
         for step in reversed(self.steps):
             await self.drain_step(step, until)
         self.close()
-        log.info("stopped")
+        STOPPED()
 
     async def drain_step(self, step: list[Declaration], until: float) -> None:
         tasks = {asyncio.ensure_future(self.parts[part.name].drain(until)): part.name for part in step}
@@ -137,9 +166,9 @@
         done, hanging = await asyncio.wait(tasks, timeout=patience)
         for task in done:
             if (error := task.exception()) is not None:
-                log.error("%s failed as it drained", tasks[task], exc_info=error)
+                events.PART_FAILED(error, part=tasks[task], act="drained")
         for task in hanging:
-            log.error("%s did not drain in time and is closed as it stands", tasks[task])
+            events.PART_HANGS(part=tasks[task])
             task.cancel()
         if hanging:
             await asyncio.wait(hanging, timeout=GRACE / 1000)
@@ -150,7 +179,7 @@
             try:
                 part.close()
             except Exception:
-                log.exception("%s failed as it closed", name)
+                events.PART_FAILED(True, part=name, act="closed")
 
 
 def differing(old: Any, new: Any, path: Path) -> Iterator[str]:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,7 +10,6 @@
 import itertools
 import json
 import random
-import re
 import signal
 import sys
 import tempfile
@@ -32,9 +31,10 @@
 PAINT = 0.5  # s
 RECENT = 10.0  # s that the table looks back
 FRONTS = {
-    "http": r"INFO demo listens on ([\d.]+:\d+)$",
-    "processor": r"the processor listens on ([\d.]+:\d+)",
-    "graphql": r"GraphQL listens on ([\d.]+:\d+)/",
+    "http.listening": "http",
+    "processor.listening": "processor",
+    "graphql.listening": "graphql",
+    "metrics.listening": "metrics",
 }
 
 
@@ -66,10 +66,13 @@
         listed = False
         while line := (await self.process.stderr.readline()).decode().rstrip():
             self.lines.append(line)
-            for name, pattern in FRONTS.items():
-                if match := re.search(pattern, line):
-                    self.fronts[name] = match[1]
-            listed = listed or " list " in line
+            try:
+                told = json.loads(line)
+            except ValueError:
+                continue  # what was wrong before there was a log
+            if (name := FRONTS.get(told["event"])) is not None:
+                self.fronts[name] = f"{told['host']}:{told['port']}"
+            listed = listed or told["event"] == "list.taken"
             if listed and self.fronts.keys() >= self.wanted:
                 self.ready.set()
 
--- /dev/null
+++ b/tests/operator/test_metrics.py
@@ -0,0 +1,96 @@
+"""Figures: what they say, that hostile names do not multiply them, and who may ask."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from dataclasses import replace
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from badgercart.core.meters import MAX_LABELS, OTHER, Kind, Meter, Meters
+from badgercart.fronts.http.part import HttpSettings
+from badgercart.metrics.figures import MAX_BUCKETS, buckets
+from badgercart.metrics.part import MetricsSettings
+from badgercart.operator.file import Installation
+from badgercart.operator.site import Site
+from cottonhall.interface import Effect, RequestClass
+from tests.net import Client, Peer, config, field, listed, request, run
+
+
+def values(text: str) -> dict[str, float]:
+    return {
+        sample.name + "".join(f",{v}" for _, v in sorted(sample.labels.items())): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def test_figures_count_what_was_served_and_refused_and_hostile_names_add_nothing() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        address = ("127.0.0.1", 0)
+        parts = {
+            "http": HttpSettings(listen=address),
+            "metrics": MetricsSettings(listen=address),
+            "server": (listed(peer.entry("s-1")),),
+        }
+        site = Site(Installation(config(1), parts), asyncio.get_running_loop())
+        await site.start()
+        http = site.parts["http"].front.listener.address  # type: ignore[attr-defined]
+        metrics = site.parts["metrics"].listener.address  # type: ignore[attr-defined]
+
+        async def page() -> dict[str, float]:
+            client = Client(*await asyncio.open_connection(*metrics))
+            status, head, body = await client.ask(b"GET /metrics HTTP/1.1\r\n\r\n")
+            client.writer.close()
+            assert (
+                status == 200
+                and field(head, b"Content-Type")
+                == (b"text/plain; version=1.0.0; charset=utf-8; escaping=underscores")
+                or re.match(rb"text/plain", field(head, b"Content-Type") or b"")
+            )
+            return values(body.decode())
+
+        before = await page()
+        client = Client(*await asyncio.open_connection(*http))
+        for _ in range(3):
+            assert (await client.ask(request()))[0] == 200
+        for number in range(200):  # each of another name, tenant and path
+            odd = request(f"class{number}", Request_Id=f'{number}\\n"', Tenant=f"t{number}")
+            assert (await client.ask(odd))[0] in (400, 404)
+            client.writer.close()
+            client = Client(*await asyncio.open_connection(*http))
+        after = await page()
+        assert after["badgercart_requests_total,find,served"] == 3.0
+        assert after["badgercart_request_seconds_count,find"] == 3.0
+        assert sum(n for k, n in after.items() if k.startswith("badgercart_http_turned_away_total")) == 200.0
+        assert after["badgercart_servers,ready"] == 1.0 and after["badgercart_cut"] == 0.0
+        assert len(after) <= len(before) + 2  # the statuses alone
+        asker = Client(*await asyncio.open_connection(*metrics))
+        status, head, body = await asker.ask(request())
+        assert status == 404 and b"figures are at /metrics" in body
+        await site.drain()
+
+    run(test())
+
+
+def test_open_labels_are_bounded_and_names_are_checked() -> None:
+    told = {f"proxy-{n}": float(n) for n in range(500)}
+    found = Meter("a_total", "", Kind.COUNTER, lambda: told, "proxy").values()
+    assert len(found) == MAX_LABELS and sum(found.values()) == sum(told.values())
+    assert found["proxy-499"] == 499.0 and OTHER in found
+    meters = Meters()
+    meters.gauge("a", "", lambda: 1.0)
+    for name, words in (("a", "two figures"), ("no name", "no name of a figure")):
+        with pytest.raises(ValueError, match=words):
+            meters.gauge(name, "", lambda: 1.0)
+
+
+def test_buckets_follow_the_aims_and_are_bounded() -> None:
+    one = RequestClass(aim=400.0, deadline=1000.0, worth=1.0, effect=Effect.SAFE)
+    assert buckets([one]) == (0.04, 0.1, 0.2, 0.3, 0.4, 1.0)
+    many = [replace(one, aim=10.0 * n, deadline=20.0 * n) for n in range(1, 60)]
+    found = buckets(many)
+    assert len(found) == MAX_BUCKETS and found[-1] == 1.18 and list(found) == sorted(set(found))
--- /dev/null
+++ b/tests/operator/test_site.py
@@ -0,0 +1,194 @@
+"""Parts that fail, hang and wait for each other: what becomes of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from badgercart.operator import site as site_module
+from badgercart.operator.faults import FileError
+from badgercart.operator.file import Installation, load
+from badgercart.operator.model import Table
+from badgercart.operator.part import Declaration, Host, Kind, OrderError, ReloadError, in_order
+from badgercart.operator.run import run as serve
+from badgercart.operator.site import PartError, Site
+from tests.net import WAIT, config, run
+
+
+class Numbered(Table):
+    """settings of a scripted part"""
+
+    number: int = 0
+
+
+class Scripted:
+    """A part that does what the test says, and tells what was done to it."""
+
+    def __init__(self, name: str, log: list[str], faults: dict[str, Any]) -> None:
+        self.name, self.log, self.faults, self.number = name, log, faults, 0
+
+    async def act(self, act: str) -> None:
+        self.log.append(f"{act} {self.name}")
+        fault = self.faults.get(f"{act} {self.name}")
+        if fault == "hang":
+            await asyncio.get_running_loop().create_future()
+        elif fault is not None:
+            raise fault
+
+    async def start(self) -> None:
+        await self.act("start")
+
+    def prepare(self, settings: Numbered) -> Callable[[], None]:
+        if settings.number < 0:
+            raise ReloadError(f"{settings.number} is below 0")
+        return lambda: setattr(self, "number", settings.number)
+
+    async def drain(self, until: float) -> None:
+        await self.act("drain")
+
+    def close(self) -> None:
+        self.log.append(f"close {self.name}")
+        if (fault := self.faults.get(f"close {self.name}")) is not None:
+            raise fault
+
+
+def parts(log: list[str], faults: dict[str, Any], **needs: tuple[str, ...]) -> tuple[Declaration, ...]:
+    def declared(name: str, wanted: tuple[str, ...]) -> Declaration:
+        def build(host: Host, settings: Any) -> Scripted:
+            if (fault := faults.get(f"build {name}")) is not None:
+                raise fault
+            return Scripted(name, log, faults)
+
+        kind = {"list": Kind.MEMBERS, "front": Kind.FRONT}.get(name, Kind.SERVICE)
+        return Declaration(name, (name,), kind, Numbered, name, build, wanted, reloads=("*",))
+
+    return tuple(declared(name, wanted) for name, wanted in needs.items())
+
+
+def installation(log: list[str], **faults: Any) -> Installation:
+    known = parts(
+        log,
+        {name.replace("_", " "): fault for name, fault in faults.items()},
+        front=("members",),
+        list=(),
+        extra=("front",),
+    )
+    return Installation(config(1), {part.name: Numbered() for part in known}, known=known)
+
+
+def test_parts_start_by_need_and_end_in_the_reverse_order() -> None:
+    async def test() -> None:
+        log: list[str] = []
+        site = Site(installation(log), asyncio.get_running_loop())
+        await site.start()
+        await site.drain()
+        order = ["list", "front", "extra"]
+        assert log == [f"start {name}" for name in order] + [
+            f"{act} {name}" for act in ("drain", "close") for name in reversed(order)
+        ]
+
+    run(test())
+
+
+@pytest.mark.parametrize("fault", [OSError("taken"), ImportError("no lib"), RuntimeError("odd")])
+def test_a_part_that_does_not_start_names_itself_and_ends_those_before_it(fault: Exception) -> None:
+    async def test() -> None:
+        log: list[str] = []
+        site = Site(installation(log, start_front=fault), asyncio.get_running_loop())
+        with pytest.raises(PartError, match=f"front does not start: {fault}"):
+            await site.start()
+        assert log == ["start list", "start front", "close extra", "close front", "close list"]
+        with pytest.raises(PartError, match="extra does not start: no disk"):
+            Site(installation(log, build_extra=OSError("no disk")), asyncio.get_running_loop())
+        assert log[-2:] == ["close front", "close list"]
+
+    run(test())
+
+
+def test_a_part_that_hangs_in_drain_is_closed_and_the_others_are_drained(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(site_module, "ACCEPT_FOR", -1e9)  # the deadline is over at once
+    monkeypatch.setattr(site_module, "GRACE", 20.0)
+
+    async def test() -> None:
+        log: list[str] = []
+        faults = {
+            "drain_front": "hang",
+            "drain_extra": RuntimeError("odd"),
+            "close_front": RuntimeError("odd"),
+        }
+        site = Site(installation(log, **faults), asyncio.get_running_loop())
+        await site.start()
+        async with asyncio.timeout(WAIT):
+            await site.drain()
+        assert log[3:] == [
+            "drain extra",
+            "drain front",
+            "drain list",
+            "close extra",
+            "close front",
+            "close list",
+        ]
+
+    run(test())
+    told = [record.getMessage() for record in caplog.records]
+    assert "front did not drain in time and is closed as it stands" in told
+    assert "extra failed as it drained" in told and "front failed as it closed" in told
+
+
+def test_sigterm_during_the_start_closes_what_is_up() -> None:
+    async def test() -> None:
+        log: list[str] = []
+        what = installation(log, start_front="hang")
+        serving = asyncio.ensure_future(serve("", what))
+        async with asyncio.timeout(WAIT):
+            while "start front" not in log:
+                await asyncio.sleep(0)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await serving
+        assert log == ["start list", "start front", "close extra", "close front", "close list"]
+
+    run(test())
+
+
+def test_a_reload_is_all_or_none_and_names_every_fault() -> None:
+    async def test() -> None:
+        what = installation([])
+        site = Site(what, asyncio.get_running_loop())
+        await site.start()
+        wrong = dict.fromkeys(("front", "extra"), Numbered(number=-1)) | {"list": Numbered(number=7)}
+        assert site.reload(replace(what, parts=wrong)) == ["front: -1 is below 0", "extra: -1 is below 0"]
+        assert site.parts["list"].number == 0  # type: ignore[attr-defined]
+        good = dict.fromkeys(wrong, Numbered(number=7))
+        assert site.reload(replace(what, parts=good)) == []
+        assert {part.number for part in site.parts.values()} == {7}  # type: ignore[attr-defined]
+        site.close()
+
+    run(test())
+
+
+def test_orders_that_can_not_be_kept_are_told() -> None:
+    for needs, words in (
+        ({"front": ("gone",)}, "front needs gone, which is not switched on"),
+        ({"a": ("b",), "b": ("a",), "c": ()}, "a, b wait for each other"),
+    ):
+        with pytest.raises(OrderError, match=words):
+            in_order(parts([], {}, **needs))
+
+
+def test_a_need_that_is_off_is_a_fault_of_the_file(tmp_path: Path) -> None:
+    known = parts([], {}, front=("extra",), list=(), extra=())
+    path = tmp_path / "site.toml"
+    path.write_text(
+        '[list]\n[front]\n[[class]]\nname = "a"\naim_ms = 1\ndeadline_ms = 2\nworth = 1\neffect = "safe"\n'
+    )
+    with pytest.raises(FileError, match="front needs extra, which is not switched on"):
+        load(str(path), {}, known)
