Capture what the policy is told in a ring of segments, and replay it to the same decisions

After a bad night one could only guess why a node chose what it chose. A tap between Policy.handle and what is done by it now hands each event, its time and a running checksum of the decisions to a bounded buffer, which a thread writes to segments; each segment begins with the policy's state, so that a ring of them replays from any. A torn, damaged, missing or foreign file is told; a slow disk makes a counted gap, a full one switches the capture off. Commands: capture info, verify, repair, replay. In the module a closure became a class, so that its state can be kept.

--- /dev/null
+++ b/badgercart/capture/commands.py
@@ -0,0 +1,135 @@
+"""`badgercart capture`: what a capture holds, whether it is whole, and what the policy decides by it now."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.progress import track
+
+from badgercart.operator.console import show_table
+from badgercart.operator.exits import CommandError, Exit
+
+FILES = click.argument("files", nargs=-1, required=True, metavar="FILE|FOLDER...")
+JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object a segment.")
+
+
+def found(files: tuple[str, ...]) -> list[Path]:
+    from badgercart.capture.replay import segments
+
+    paths = segments(files)
+    if not paths:
+        raise CommandError(f"{', '.join(files)}: there is no segment", Exit.USAGE)
+    return paths
+
+
+@click.group()
+def capture() -> None:
+    """Look into captures of what the policy was told, and replay them."""
+
+
+@capture.command()
+@FILES
+@JSON
+def info(files: tuple[str, ...], as_json: bool) -> None:
+    """What each segment holds."""
+    from badgercart.capture.format import Ending, FormatError, Kind, Segment
+    from badgercart.capture.replay import read_event
+
+    rows: list[dict[str, Any]] = []
+    for path in found(files):
+        try:
+            segment = Segment(path.read_bytes())
+        except (FormatError, OSError) as error:
+            raise CommandError(f"{path}: {error}") from None
+        count = lost = 0
+        first = last = 0.0
+        for record in segment.records():
+            if record.kind is Kind.EVENT:
+                _, now, _ = read_event(record)
+                first, last, count = first or now, now, count + 1
+            elif record.kind is Kind.GAP:
+                lost += int.from_bytes(record.payload)
+        began = datetime.fromtimestamp(segment.head["wall_ms"] / 1000, UTC).isoformat(timespec="seconds")
+        rows.append(
+            {
+                "segment": path.name, "node": segment.head["node"], "began": began, "events": count,
+                "seconds": round((last - first) / 1000, 1), "lost": lost,
+                "ending": Ending(segment.ending).name.lower(), "bytes": len(segment.data),
+            }
+        )  # fmt: skip
+    if as_json:
+        click.echo("\n".join(map(json.dumps, rows)))
+    else:
+        show_table(tuple(rows[0]), [tuple(map(str, row.values())) for row in rows])
+
+
+@capture.command()
+@FILES
+def verify(files: tuple[str, ...]) -> None:
+    """Whether every record is as it was written; exit 1 if one is not, or a segment is cut off."""
+    from badgercart.capture.format import Ending, FormatError, Segment
+
+    bad = 0
+    for path in found(files):
+        try:
+            segment = Segment(path.read_bytes())
+            count = sum(1 for _ in segment.records())
+        except (FormatError, OSError) as error:
+            click.echo(f"{path}: {error}")
+            bad += 1
+            continue
+        ending = Ending(segment.ending)
+        words = "whole" if ending is Ending.WHOLE else f"{ending.name.lower()} at byte {segment.good}"
+        click.echo(f"{path}: {count} records, {words}")
+        bad += ending is not Ending.WHOLE
+    raise click.exceptions.Exit(Exit.FAILED if bad else Exit.DONE)
+
+
+@capture.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("-o", "--output", required=True, type=click.Path(), help="Where the mended segment goes.")
+def repair(file: str, output: str) -> None:
+    """Keep what is whole of a segment that was cut off or damaged, and close it."""
+    from badgercart.capture.format import FormatError, Kind, Segment, record
+
+    try:
+        segment = Segment(Path(file).read_bytes())
+    except FormatError as error:
+        raise CommandError(f"{file}: {error}") from None
+    records = [found.kind for found in segment.records()]
+    end = b"" if records[-1:] == [Kind.END] else record(Kind.END, b"")
+    Path(output).write_bytes(segment.data[: segment.good] + end)
+    click.echo(f"{output}: {len(records)} records kept, {len(segment.data) - segment.good} bytes left out")
+
+
+@capture.command()
+@FILES
+@click.option("--force", is_flag=True, help="Also where the policy's text is another one than it was then.")
+def replay(files: tuple[str, ...], force: bool) -> None:
+    """Decide everything anew; exit 0 only where all decisions are the same."""
+    from badgercart.capture.replay import replay_all
+
+    paths, bad, events = found(files), 0, 0
+    quiet = not Console(stderr=True).is_terminal
+    for told in track(
+        replay_all(paths), "replaying", total=len(paths), console=Console(stderr=True), disable=quiet
+    ):
+        events += told.events
+        if told.other_module and not force:
+            raise CommandError(
+                f"{told.name}: the policy's text is another one now; --force plays it all the same"
+            )
+        for fault in told.faults:
+            click.echo(f"{told.name}: {fault}")
+        if (other := told.difference) is not None:
+            click.echo(f"{told.name}: record {other.record} at {other.now:.3f} ms is decided otherwise")
+            click.echo(f"  {other.event}")
+            click.echo(f"  now: {other.actions}")
+        bad += not told.identical
+    click.echo(f"{events} events, {len(paths)} segments: {'differing' if bad else 'identical'}")
+    raise click.exceptions.Exit(Exit.FAILED if bad else Exit.DONE)
--- /dev/null
+++ b/badgercart/capture/events.py
@@ -0,0 +1,23 @@
+"""What the capture says in the log."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+WRITING = event(
+    "capture.writing", logging.INFO, "capturing to %(folder)s", "What the policy is told is kept there."
+)
+OFF = event(
+    "capture.off",
+    logging.ERROR,
+    "the capture is switched off: %(error)s",
+    "The folder is full, read-only or gone; the node goes on. Mend it and restart.",
+)
+GAP = event(
+    "capture.gap",
+    logging.WARNING,
+    "%(count)d events were not captured: the disk is too slow",
+    "The gap is recorded, and a new segment begins behind it, from the policy's state there.",
+)
--- /dev/null
+++ b/badgercart/capture/part.py
@@ -0,0 +1,93 @@
+"""The capture as a part of an installation."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from pathlib import Path as FilePath
+from typing import TYPE_CHECKING
+
+from badgercart.capture.events import GAP, OFF, WRITING
+from badgercart.capture.settings import CaptureSettings
+from badgercart.operator.faults import Path
+from badgercart.operator.part import Checked, Declaration, Host, Kind
+
+if TYPE_CHECKING:
+    from badgercart.capture.writer import Capture
+
+FLUSH = 0.2  # s between looks for what has gathered
+
+
+class CapturePart:
+    """Taps the join from before anything is told to the policy until all is drained."""
+
+    def __init__(self, host: Host, settings: CaptureSettings) -> None:
+        from badgercart.capture.writer import Capture
+
+        self.host, self.folder = host, FilePath(host.folder) / settings.folder
+        if not self.folder.is_dir():
+            raise NotADirectoryError(f"{self.folder} is no folder")
+        config = host.config
+        self.capture: Capture = Capture(
+            settings, self.folder, config.name, host.join.policy, config.seed, self.gap, self.failed
+        )
+        host.join.tap = self.capture.tap
+        self.timer: asyncio.TimerHandle | None = None
+        host.meters.counter(
+            "badgercart_capture_events", "Events that were captured.", lambda: self.capture.total
+        )
+        host.meters.gauge(
+            "badgercart_capture_waiting_bytes",
+            "Bytes that wait for the disk.",
+            lambda: self.capture.disk.waiting + self.capture.out_size,
+        )
+
+    async def start(self) -> None:
+        WRITING(folder=str(self.folder))
+        self.flush()
+
+    def flush(self) -> None:
+        self.capture.flush()
+        self.timer = self.host.loop.call_later(FLUSH, self.flush)
+
+    def gap(self, count: int) -> None:
+        GAP(count=count)
+
+    def failed(self, error: OSError) -> None:
+        OFF(error=error)
+        self.host.join.tap = None
+
+    def prepare(self, settings: CaptureSettings) -> Callable[[], None] | None:
+        """Nothing here changes without a restart."""
+        return None
+
+    async def drain(self, until: float) -> None:
+        """What fronts still decide meanwhile is captured, too."""
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.host.join.tap is not None:
+            self.host.join.tap = None
+            self.capture.close()
+
+
+def check(settings: CaptureSettings, file: Checked) -> Iterator[tuple[Path, str]]:
+    if settings.keep_bytes < 2 * settings.segment_bytes:
+        yield ("keep_bytes",), "holds no two segments"
+
+
+PARTS = (
+    Declaration(
+        name="capture",
+        key=("capture",),
+        kind=Kind.SERVICE,
+        settings=CaptureSettings,
+        about="a capture of all that the policy is told, in a ring of segments",
+        build=CapturePart,
+        check=check,
+        extra="capture",
+        libraries=("msgspec",),
+        commands="badgercart.capture.commands:capture",
+    ),
+)
--- /dev/null
+++ b/badgercart/capture/writer.py
@@ -0,0 +1,218 @@
+"""Writes segments: the tap fills a bounded buffer, a thread carries it to the disk, nobody waits for it."""
+
+from __future__ import annotations
+
+import threading
+import time
+import zlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from badgercart.capture.codec import (
+    encode_actions,
+    encode_event,
+    encode_settings,
+    freeze,
+    module_digest,
+)
+from badgercart.capture.format import INDEX_EVERY, VERSION, Kind, event_record, head, record
+from badgercart.capture.replay import SUFFIX
+from badgercart.capture.settings import CaptureSettings
+from cottonhall.interface import Action, Event
+from cottonhall.rules import Policy
+
+PATIENCE = 2.0  # s for what is written at the end of the process
+CHUNK = 1 << 15  # bytes that gather before the thread is woken
+Chunk = tuple[str, bytes]  # the segment it belongs to, and its bytes
+
+
+class Disk:
+    """The thread: appends chunks to their segments in order, and keeps the ring. `failed`: why it stopped."""
+
+    def __init__(self, folder: Path, settings: CaptureSettings) -> None:
+        self.folder, self.settings = folder, settings
+        self.ready = threading.Condition()
+        self.chunks: list[Chunk] = []
+        self.waiting = 0  # bytes
+        self.ended = False
+        self.failed: OSError | None = None
+        self.thread = threading.Thread(target=self.work, name="capture", daemon=True)
+        self.thread.start()
+
+    def put(self, segment: str, data: bytes) -> None:
+        with self.ready:
+            self.chunks.append((segment, data))
+            self.waiting += len(data)
+            self.ready.notify()
+
+    def close(self) -> None:
+        with self.ready:
+            self.ended = True
+            self.ready.notify()
+        self.thread.join(PATIENCE)
+
+    def work(self) -> None:
+        name, file = "", None
+        try:
+            while True:
+                with self.ready:
+                    while not self.chunks and not self.ended:
+                        self.ready.wait()
+                    chunks, self.chunks = self.chunks, []
+                    if not chunks:
+                        return
+                for segment, data in chunks:
+                    if segment != name:
+                        if file is not None:
+                            file.close()
+                        self.make_room(segment, len(data))
+                        file, name = (self.folder / segment).open("ab", buffering=0), segment
+                    assert file is not None
+                    file.write(data)
+                    with self.ready:
+                        self.waiting -= len(data)
+        except OSError as error:
+            self.failed = error
+        finally:
+            if file is not None:
+                file.close()
+
+    def make_room(self, fresh: str, head: int) -> None:
+        """Let the oldest segments go, by age and by bytes, so that a whole new one has room."""
+        now, room = time.time(), self.settings.keep_bytes - self.settings.segment_bytes - head
+        kept = []
+        for path in sorted(self.folder.glob(f"*{SUFFIX}")):
+            stat = path.stat()
+            if path.name != fresh and stat.st_mtime < now - self.settings.keep_s:
+                path.unlink()
+            else:
+                kept.append((path, stat.st_size))
+        total = sum(size for _, size in kept)
+        for path, size in kept:
+            if total <= room or path.name == fresh:
+                break
+            path.unlink()
+            total -= size
+
+
+class Capture:
+    """The tap of one join: what the policy is told, and a running checksum of what it decides."""
+
+    def __init__(
+        self,
+        settings: CaptureSettings,
+        folder: Path,
+        node: str,
+        policy: Policy,
+        seed: int,
+        on_gap: Callable[[int], None],
+        on_failure: Callable[[OSError], None],
+    ) -> None:
+        self.settings, self.policy = settings, policy
+        self.on_gap, self.on_failure = on_gap, on_failure
+        self.fixed: dict[str, Any] = {
+            "node": node,
+            "seed": seed,
+            "settings": encode_settings(policy.settings),
+            "module": module_digest(),
+        }
+        self.disk = Disk(folder, settings)
+        self.session = f"{int(time.time() * 1000):013d}"  # sorts by the node's starts
+        self.number = -1  # of the segment
+        self.running = 0  # crc32 of all decisions since the segment began
+        self.size = self.records = self.body = 0  # of the segment: bytes, records, bytes behind its head
+        self.total = 0  # events captured
+        self.lost = 0  # events since the buffer ran over
+        self.index: list[tuple[int, float, int]] = []
+        self.chunk = min(CHUNK, settings.buffer_bytes // 4)
+        self.out: list[bytes] = []
+        self.out_size = 0
+        self.begin(freeze(policy))
+
+    @property
+    def segment(self) -> str:
+        return f"{self.session}-{self.number:06d}{SUFFIX}"
+
+    def begin(self, state: bytes) -> None:
+        """A new segment, with the policy's state."""
+        self.number += 1
+        self.running = self.records = self.size = self.body = 0
+        self.index = []
+        fields = self.fixed | {
+            "format": VERSION,
+            "segment": self.number,
+            "events_before": self.total,
+            "wall_ms": time.time() * 1000,
+            "running": 0,
+            "state": state,
+        }
+        data = head(fields)
+        self.bound = self.settings.buffer_bytes + len(data)  # a state is no sign of a slow disk
+        self.add(data)
+
+    def add(self, data: bytes) -> None:
+        self.out.append(data)
+        self.out_size += len(data)
+        self.size += len(data)
+
+    def flush(self) -> None:
+        """Hand over what has gathered, as often as the loop has a moment."""
+        if self.out:
+            self.disk.put(self.segment, b"".join(self.out))
+            self.out, self.out_size = [], 0
+
+    def tap(self, now: float, event: Event, actions: list[Action] | None) -> None:
+        """After the policy has decided, and before anything of it is done. It never raises."""
+        try:
+            self.take(now, event, actions)
+        except Exception as error:  # a fault of ours must not cost a request
+            self.on_failure(OSError(f"{type(error).__name__}: {error}"))
+
+    def take(self, now: float, event: Event, actions: list[Action] | None) -> None:
+        if self.disk.failed is not None:
+            failed, self.disk.failed = self.disk.failed, None
+            self.on_failure(failed)
+            return
+        if self.lost or self.out_size + self.disk.waiting > self.bound:
+            self.lost += 1
+            if self.disk.waiting + self.out_size < self.bound // 2:
+                self.resume()
+            return
+        self.running = zlib.crc32(encode_actions(actions), self.running)
+        if self.records % INDEX_EVERY == 0:
+            self.index.append((self.records, now, self.size))
+        data = event_record(self.running, encode_event(now, event))
+        self.add(data)
+        self.body += len(data)
+        self.records += 1
+        self.total += 1
+        if self.out_size >= self.chunk:
+            self.flush()
+        if self.body >= self.settings.segment_bytes:
+            self.roll()
+
+    def resume(self) -> None:
+        """Behind a gap: say how many are missing, and begin anew from the state there."""
+        lost, self.lost = self.lost, 0
+        self.add(record(Kind.GAP, lost.to_bytes(8)))
+        self.on_gap(lost)
+        self.roll()
+
+    def roll(self) -> None:
+        self.end()
+        self.begin(freeze(self.policy))
+
+    def end(self) -> None:
+        """Close the segment: the index, and that it is whole."""
+        self.add(record(Kind.INDEX, msgspec.msgpack.encode(self.index)))
+        self.add(record(Kind.END, b""))
+        self.flush()
+
+    def close(self) -> None:
+        if self.lost:
+            self.add(record(Kind.GAP, self.lost.to_bytes(8)))
+        self.end()
+        self.disk.close()
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -36,6 +36,9 @@
     Withdrawn,
 )
 
+# Told of each event and of what was decided by it, before that is done; None: the policy raised.
+Tap = Callable[[float, Event, list[Action] | None], None]
+
 
 @dataclass(slots=True)
 class Held:
@@ -63,6 +66,7 @@
         self.events: deque[Event] = deque()
         self.handling = False
         self.observers: tuple[Observer, ...] = ()
+        self.tap: Tap | None = None
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Refuse: self.refuse,
@@ -84,10 +88,17 @@
         try:
             while self.events:
                 event = self.events.popleft()
+                now, decided = self.clock(), False
                 try:
-                    for action in self.policy.handle(self.clock(), event):
+                    actions = self.policy.handle(now, event)
+                    decided = True
+                    if self.tap is not None:
+                        self.tap(now, event, actions)
+                    for action in actions:
                         self.perform[type(action)](action)
                 except Exception:
+                    if self.tap is not None and not decided:
+                        self.tap(now, event, None)
                     # One request must not take the node down with it; it still is owed an answer.
                     POLICY_FAILED(True, kind=type(event).__name__, request=getattr(event, "id", 0))
                     if isinstance(event, Request | Outcome | Diverted | Resume):
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -9,6 +9,7 @@
 from badgercart.operator.part import Declaration
 
 PARTS = (
+    "badgercart.capture.part",
     "badgercart.metrics.part",
     "badgercart.membership.part",
     "badgercart.membership.etcd.part",
--- a/cottonhall/fleet.py
+++ b/cottonhall/fleet.py
@@ -8,6 +8,7 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Callable
+from dataclasses import dataclass
 
 BLOCK = 64  # points in a block of the ring on average; a block is split at twice that
 
@@ -65,6 +66,18 @@
         return [point for block in self.blocks for point in block]
 
 
+@dataclass(slots=True, frozen=True)
+class Level:
+    """How many points a size gets: a class, not a closure, so that a policy's state can be kept."""
+
+    points: int
+    paced: float
+    strongest: float
+
+    def __call__(self, size: float) -> int:
+        return int(self.points * (size / self.paced / self.strongest))
+
+
 class Sizes:
     """The listed sizes of the ready servers of one kind, in order, and their sum."""
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
-from cottonhall.fleet import Ring, Sizes
+from cottonhall.fleet import Level, Ring, Sizes
 from cottonhall.interface import (
     MAY_RUN_ON, NEVER_RAN, Action, Cancel, Diverted, Effect, Event, Fail, Group, ListKind, Log, Outcome,
     Refuse, Request, Result, Resume, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake,
@@ -651,10 +651,7 @@
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
         strongest = self.strongest
         for kind, paced in pace.items():
-
-            def level(size: float, paced: float = paced) -> int:
-                return int(RING_POINTS * (size / paced / strongest))
-
+            level = Level(RING_POINTS, paced, strongest)
             for server_id in self.sizes[kind].moved((paced, strongest), level, RING_POINTS):
                 self.unplaced[server_id] = None
         if self.unplaced:
