--- a/badgercart/capture/codec.py
+++ b/badgercart/capture/codec.py
@@ -12,6 +12,7 @@
 import io
 import pickle
 from collections.abc import Callable, Sequence
+from operator import attrgetter
 from pathlib import Path
 from typing import Any
 
@@ -55,33 +56,40 @@
 ACTIONS: tuple[type, ...] = (Send, Refuse, Fail, Cancel, Wake, Probe, Subscribe, Log)
 _EVENT_NUMBERS = {kind: number for number, kind in enumerate(EVENTS)}
 _ACTION_NUMBERS = {kind: number for number, kind in enumerate(ACTIONS)}
-_FIELDS = {kind: tuple(f.name for f in dataclasses.fields(kind)) for kind in (*EVENTS, *ACTIONS, ServerEntry)}
-_encoder = msgspec.msgpack.Encoder()
+_encode = msgspec.msgpack.Encoder().encode
 
 
-class CodecError(Exception):
-    """Bytes that are none of ours: what is wrong with them."""
+def _getter(kind: Any) -> Callable[[Any], tuple[Any, ...]]:
+    """All fields of a dataclass at once, in C: this runs for every event of a node."""
+    names = [field.name for field in dataclasses.fields(kind)]
+    if len(names) > 1:
+        return attrgetter(*names)
+    return lambda item: tuple(getattr(item, name) for name in names)
+
 
+_FIELDS = {kind: _getter(kind) for kind in (*EVENTS, *ACTIONS, ServerEntry)}
 
-def _fields(item: Any) -> list[Any]:
-    return [getattr(item, name) for name in _FIELDS[type(item)]]
+
+class CodecError(Exception):
+    """Bytes that are none of ours: what is wrong with them."""
 
 
 def encode_event(now: float, event: Event) -> bytes:
-    """`[number, now, field, ...]`, the fields in the order of the class."""
-    fields = _fields(event)
-    if type(event) is ServerList:
-        fields[2] = [_fields(entry) for entry in event.servers]
-    elif type(event) is Request and event.among is not None:
-        fields[-1] = sorted(event.among)
-    return _encoder.encode([_EVENT_NUMBERS[type(event)], now, *fields])
+    """`[number, now, [field, ...]]`, the fields in the order of the class."""
+    kind = type(event)
+    fields: tuple[Any, ...] = _FIELDS[kind](event)
+    if kind is ServerList:
+        fields = (*fields[:-1], [_FIELDS[ServerEntry](entry) for entry in fields[-1]])
+    elif kind is Request and fields[-1] is not None:
+        fields = (*fields[:-1], sorted(fields[-1]))
+    return _encode((_EVENT_NUMBERS[kind], now, fields))
 
 
 def encode_actions(actions: Sequence[Action] | None) -> bytes:
-    """`[[number, field, ...], ...]`; nil where the policy raised."""
+    """`[[number, [field, ...]], ...]`; nil where the policy raised."""
     if actions is None:
-        return _encoder.encode(None)
-    return _encoder.encode([[_ACTION_NUMBERS[type(action)], *_fields(action)] for action in actions])
+        return _encode(None)
+    return _encode([(_ACTION_NUMBERS[type(action)], _FIELDS[type(action)](action)) for action in actions])
 
 
 def _server_list(kind: int, version: int, servers: list[list[Any]]) -> ServerList:
@@ -121,7 +129,7 @@
 def decode_event(data: bytes) -> tuple[float, Event]:
     """Raises CodecError."""
     try:
-        number, now, *fields = msgspec.msgpack.decode(data)
+        number, now, fields = msgspec.msgpack.decode(data)
         kind = EVENTS[number]
         return float(now), _READ.get(kind, kind)(*fields)
     except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
--- a/badgercart/capture/commands.py
+++ b/badgercart/capture/commands.py
@@ -133,3 +133,26 @@
         bad += not told.identical
     click.echo(f"{events} events, {len(paths)} segments: {'differing' if bad else 'identical'}")
     raise click.exceptions.Exit(Exit.FAILED if bad else Exit.DONE)
+
+
+@capture.command()
+@FILES
+@click.argument("number", type=int)
+def explain(files: tuple[str, ...], number: int) -> None:
+    """Why request NUMBER went as it did, line by line."""
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.explain import explain as told
+    from badgercart.capture.format import FormatError
+
+    there = False
+    for path in found(files):
+        try:
+            lines = told(path, number)
+        except (FormatError, CodecError, OSError) as error:
+            raise CommandError(f"{path}: {error}") from None
+        if lines:
+            there = True
+            click.echo(f"{path}:")
+            click.echo("\n".join(lines))
+    if not there:
+        raise CommandError(f"no event is about request {number}")
--- /dev/null
+++ b/badgercart/capture/explain.py
@@ -0,0 +1,161 @@
+"""Why one request went as it did: its segment is decided anew by a policy that also says why.
+
+The policy's own code runs, in a subclass whose methods call it and take notes of one request; a node's policy
+is never of this class, so that nobody pays for what nobody asks.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from badgercart.capture.format import Kind, Segment
+from badgercart.capture.replay import read_event, start
+from cottonhall.interface import (
+    Action,
+    Cancel,
+    Diverted,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Resume,
+    Send,
+    Timer,
+    Wake,
+    Withdrawn,
+)
+from cottonhall.rules import Policy
+
+
+@dataclass(slots=True)
+class Notes:
+    wanted: int
+    lines: list[str] = field(default_factory=list)
+    looked: dict[int, str] | None = None  # servers that a search has come by, while one is on
+
+
+class Telling(Policy):
+    """Decides as its parent does. Only made of a policy that was read from a capture."""
+
+    notes: Notes
+
+    def on_request(self, request: Request) -> None:
+        if request.id != self.notes.wanted:
+            super().on_request(request)
+            return
+        state = self.random.getstate()  # looked at, and put back: the parent draws the same
+        draw = self.random.random()
+        self.random.setstate(state)
+        settings, group, beyond = self.settings, request.cls, ""
+        quota = settings.quotas[request.tenant] / settings.group_size if settings.quotas else float("inf")
+        if settings.quotas and self.quota_used[request.tenant] > quota:
+            group, beyond = group + len(settings.classes), ", beyond its tenant's share"
+        low, width = self.bands[group]
+        score = low + width * draw
+        self.say(f"taken: class {request.cls}, tenant {request.tenant}{beyond}, key {request.key:x}")
+        self.say(f"score {score:.2f}, of {low:.2f} to {low + width:.2f} for its class and share")
+        flying = f"{self.in_flight:.1f} attempts in flight of {self.need:.1f} needed"
+        self.say(f"cut {self.cut:.2f} at x {self.x:.3f}: errors {self.errors:.3f}, {flying}")
+        super().on_request(request)
+        if score < self.cut:
+            self.say("its score is below the cut")
+
+    def pick(self, job: Any) -> Any:
+        if job.request.id != self.notes.wanted:
+            return super().pick(job)
+        self.notes.looked = {}
+        server = super().pick(job)
+        looked, self.notes.looked = self.notes.looked, None
+        for server_id, words in looked.items():
+            self.say(f"  {server_id:x}: {words}")
+        self.say(
+            f"attempt {job.tries}: " + (f"server {server.entry.id:x}" if server else "no server will do")
+        )
+        return server
+
+    def usable(self, server: Any, health: Any) -> bool:
+        fit = super().usable(server, health)
+        if (looked := self.notes.looked) is not None:
+            load = f"{len(server.open)} open, slow {server.slow:.2f}, fails {health.fails:.2f}"
+            if fit:
+                words = f"could serve: {load}"
+            elif health.rest_until:
+                words = f"rests until {health.rest_until:.0f} ms or proves itself: {load}"
+            elif any(overdue < self.now for _, overdue in server.open.values()):
+                words = f"hangs: an attempt there is overdue; {load}"
+            else:
+                words = f"cold, at {self.cold_share(server):.2f} of its work, and has no token"
+            looked[server.entry.id] = words
+        return fit
+
+    def allowed(self, job: Any, server: Any, until: float = 0.0) -> bool:
+        fit = super().allowed(job, server, until)
+        if not fit and (looked := self.notes.looked) is not None:
+            looked[server.entry.id] = "not allowed: the request may have run where its class forbids a repeat"
+        return fit
+
+    def say(self, words: str) -> None:
+        self.notes.lines.append(f"{self.now:.3f} ms  {words}")
+
+
+def _of(event: Event) -> int:
+    """The request that an event is about; 0: none."""
+    if isinstance(event, Request | Outcome | Diverted | Resume | Withdrawn):
+        return event.id
+    return event.token if isinstance(event, Timer) else 0
+
+
+def _told(event: Event) -> str:
+    if isinstance(event, Outcome):
+        parked = ", parked" if event.parked else ""
+        words = f"attempt {event.attempt} at {event.server:x}: {Result(event.result).name} after"
+        return f"{words} {event.elapsed:.1f} ms{parked}" + (", the request is over" if event.over else "")
+    if isinstance(event, Diverted):
+        return f"attempt {event.attempt}: {Result(event.result).name}; its carrier went on to {event.to:x}"
+    return type(event).__name__.lower()
+
+
+def _done(action: Action) -> str:
+    if isinstance(action, Send):
+        more = f", fallbacks {[f'{i:x}' for i in action.fallbacks]}" if action.fallbacks else ""
+        return f"send to {action.server:x}, {action.limit:.0f} ms at most{more}"
+    if isinstance(action, Refuse):
+        return f"refuse; come back after {action.wait:.0f} ms" if action.wait else "refuse"
+    if isinstance(action, Wake):
+        return f"wait {action.delay:.0f} ms"
+    return type(action).__name__.lower()
+
+
+def explain(path: Path, request_id: int) -> list[str]:
+    """The life of a request, line by line; empty where this segment does not have it.
+
+    Raises FormatError, CodecError and OSError. One that began in an earlier segment is told from there on."""
+    segment = Segment(path.read_bytes())
+    # Deciding is dear: a segment that does not have the request is only searched.
+    events = [read_event(record) for record in segment.records() if record.kind is Kind.EVENT]
+    last = max((at for at, (_, _, event) in enumerate(events) if _of(event) == request_id), default=-1)
+    if last < 0:
+        return []
+    policy = start(segment)
+    policy.__class__ = Telling
+    assert isinstance(policy, Telling)
+    policy.notes = notes = Notes(request_id)
+    for _, now, event in events[: last + 1]:
+        mine = _of(event) == request_id
+        if mine and not isinstance(event, Request):
+            notes.lines.append(f"{now:.3f} ms  {_told(event)}")
+        try:
+            actions = policy.handle(now, event)
+        except Exception as error:  # as it did then
+            actions = []
+            if mine:
+                notes.lines.append(f"{now:.3f} ms  the policy failed: {type(error).__name__}: {error}")
+        for action in actions:
+            about = action.token if isinstance(action, Wake) else getattr(action, "id", 0)
+            if isinstance(action, Send | Refuse | Fail | Cancel | Wake) and about == request_id:
+                notes.lines.append(f"{now:.3f} ms  {_done(action)}")
+    return notes.lines
--- a/badgercart/capture/format.py
+++ b/badgercart/capture/format.py
@@ -76,8 +76,10 @@
     def __init__(self, data: bytes) -> None:
         """Raises FormatError."""
         self.data = data
-        if len(data) < PREFIX.size or data[:4] != MAGIC:
+        if data[:4] != MAGIC[: len(data)]:
             raise FormatError("this is no capture")
+        if len(data) < PREFIX.size:
+            raise FormatError("the head is cut off")
         _, self.version = PREFIX.unpack_from(data)
         if self.version != VERSION:
             raise FormatError(f"format {self.version} is not read here, only {VERSION}")
--- a/badgercart/capture/writer.py
+++ b/badgercart/capture/writer.py
@@ -25,6 +25,7 @@
 from cottonhall.rules import Policy
 
 PATIENCE = 2.0  # s for what is written at the end of the process
+NOTHING = encode_actions([])
 CHUNK = 1 << 15  # bytes that gather before the thread is woken
 Chunk = tuple[str, bytes]  # the segment it belongs to, and its bytes
 
@@ -123,15 +124,20 @@
         self.session = f"{int(time.time() * 1000):013d}"  # sorts by the node's starts
         self.number = -1  # of the segment
         self.running = 0  # crc32 of all decisions since the segment began
-        self.size = self.records = self.body = 0  # of the segment: bytes, records, bytes behind its head
-        self.total = 0  # events captured
+        self.size = self.records = self.head = 0  # of the segment: bytes, events, bytes of its head
+        self.before = 0  # events in earlier segments
         self.lost = 0  # events since the buffer ran over
         self.index: list[tuple[int, float, int]] = []
-        self.chunk = min(CHUNK, settings.buffer_bytes // 4)
+        self.chunk = min(CHUNK, settings.buffer_bytes // 4, settings.segment_bytes)
         self.out: list[bytes] = []
         self.out_size = 0
         self.begin(freeze(policy))
 
+    @property
+    def total(self) -> int:
+        """Events captured so far."""
+        return self.before + self.records
+
     @property
     def segment(self) -> str:
         return f"{self.session}-{self.number:06d}{SUFFIX}"
@@ -139,17 +145,19 @@
     def begin(self, state: bytes) -> None:
         """A new segment, with the policy's state."""
         self.number += 1
-        self.running = self.records = self.size = self.body = 0
+        self.before += self.records
+        self.running = self.records = self.size = 0
         self.index = []
         fields = self.fixed | {
             "format": VERSION,
             "segment": self.number,
-            "events_before": self.total,
+            "events_before": self.before,
             "wall_ms": time.time() * 1000,
             "running": 0,
             "state": state,
         }
         data = head(fields)
+        self.head = len(data)
         self.bound = self.settings.buffer_bytes + len(data)  # a state is no sign of a slow disk
         self.add(data)
 
@@ -181,18 +189,21 @@
             if self.disk.waiting + self.out_size < self.bound // 2:
                 self.resume()
             return
-        self.running = zlib.crc32(encode_actions(actions), self.running)
+        # What follows runs for every event: it is written out, and looked over once a chunk.
+        self.running = zlib.crc32(
+            encode_actions(actions) if actions or actions is None else NOTHING, self.running
+        )
         if self.records % INDEX_EVERY == 0:
             self.index.append((self.records, now, self.size))
         data = event_record(self.running, encode_event(now, event))
-        self.add(data)
-        self.body += len(data)
+        self.out.append(data)
+        self.out_size += len(data)
+        self.size += len(data)
         self.records += 1
-        self.total += 1
         if self.out_size >= self.chunk:
             self.flush()
-        if self.body >= self.settings.segment_bytes:
-            self.roll()
+            if self.size - self.head >= self.settings.segment_bytes:
+                self.roll()
 
     def resume(self) -> None:
         """Behind a gap: say how many are missing, and begin anew from the state there."""
@@ -214,5 +225,6 @@
     def close(self) -> None:
         if self.lost:
             self.add(record(Kind.GAP, self.lost.to_bytes(8)))
+            self.on_gap(self.lost)
         self.end()
         self.disk.close()
--- a/badgercart/operator/logs.py
+++ b/badgercart/operator/logs.py
@@ -164,6 +164,7 @@
         member = self.roster.listed.get(server)
         REQUEST_OVER(
             request_id=intake.name.decode("latin-1") or str(request_id),
+            number=request_id,
             outcome=final.value,
             **{"class": self.classes[intake.cls]},
             tenant=self.tenants[intake.tenant] if self.tenants else "",
--- /dev/null
+++ b/benchmarks/capture.py
@@ -0,0 +1,126 @@
+"""What a capture costs, and how quickly it is replayed: `python -m benchmarks.capture`.
+
+One run plays the same requests through a join and its policy with the capture on and off, in turn, and prints
+the processor time of both, the writer's thread included; bytes an event and a request; and the replay's speed
+beside the time that was captured. The share of a whole request is against the processor time that the HTTP
+front takes for one (`--front`, in µs, as `benchmarks.operator` gives it).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from badgercart.capture.replay import replay, segments
+from badgercart.capture.settings import CaptureSettings
+from badgercart.capture.writer import Capture
+from badgercart.core.join import Join
+from badgercart.core.ports import Answer, Intake, Order
+from cottonhall.interface import (
+    Effect,
+    ListKind,
+    RequestClass,
+    Result,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+)
+
+CLASS = RequestClass(580.0, 1400.0, 2.0, Effect.SAFE)
+GAP = 3.0  # ms between requests
+TOOK = 40.0  # ms of an answer
+
+
+class NoTimers:
+    def call_later(self, delay: float, callback: object, *args: object) -> asyncio.Handle:
+        raise AssertionError("nothing waits here")
+
+
+class Load:
+    """A calm node: every request is served at once by the first server that is chosen."""
+
+    def __init__(self, folder: Path | None) -> None:
+        self.now = 0.0
+        self.order: Order | None = None
+        self.join = Join(Settings(classes=(CLASS,), max_attempts=2), 1, NoTimers(), lambda: self.now)
+        self.capture: Capture | None = None
+        if folder is not None:
+            settings = CaptureSettings(folder=str(folder))
+            self.capture = Capture(settings, folder, "n", self.join.policy, 1, self.lost, self.broken)
+            self.join.tap = self.capture.tap
+        entries = [ServerEntry(n, 0, 0, 0, State.READY, 2.0, 0.0) for n in range(1, 11)]
+        self.join.tell(ServerList(ListKind.FULL, 1, entries))
+
+    def lost(self, count: int) -> None:
+        print(f"{count} events were lost: the disk is too slow for this benchmark")
+
+    def broken(self, error: OSError) -> None:
+        raise RuntimeError(str(error))
+
+    def send(self, order: Order) -> None:
+        self.order = order
+
+    def cancel(self, request_id: int, number: int) -> None: ...
+
+    def answered(self, answer: Answer) -> None: ...
+
+    def refused(self, wait: float) -> None: ...
+
+    def failed(self, broken: bool) -> None: ...
+
+    def play(self, requests: int) -> float:
+        """Processor time of all threads (s)."""
+        begun = time.process_time()
+        for number in range(requests):
+            self.now += GAP
+            self.order = None
+            intake = Intake(0, 0, number % 500 + 1, self.now + 1300.0, None)
+            self.join.take(self.join.number(), intake, self, self)
+            if (order := self.order) is not None:
+                answer = Answer(200)
+                self.join.ended(order.request_id, order.number, order.server_id, Result.OK, TOOK, answer)
+        if self.capture is not None:
+            self.capture.close()
+        return time.process_time() - begun
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.capture", description=__doc__)
+    parser.add_argument("--requests", type=int, default=10_000, help="of each play (10,000)")
+    parser.add_argument("--rounds", type=int, default=5, help="plays of each way, in turn (5)")
+    parser.add_argument("--front", type=float, default=200.0, help="µs of a core for a whole request (200)")
+    chosen = parser.parse_args()
+    off, on = [], []
+    with tempfile.TemporaryDirectory() as name:
+        for turn in range(chosen.rounds):
+            off.append(Load(None).play(chosen.requests) / chosen.requests * 1e6)
+            folder = Path(name) / str(turn)
+            folder.mkdir()
+            on.append(Load(folder).play(chosen.requests) / chosen.requests * 1e6)
+        paths = segments([str(folder)])
+        size = sum(path.stat().st_size for path in paths)
+        begun = time.process_time()
+        told = [replay(path) for path in paths]
+        spent = time.process_time() - begun
+    events = sum(part.events for part in told)
+    if not all(part.identical for part in told):
+        print("the replay differs")
+        return 1
+    cost = statistics.median(on) - statistics.median(off)
+    share = chosen.front / (chosen.front + cost)
+    print(f"join and policy: {statistics.median(off):.1f} µs a request, {cost:.1f} more with the capture on")
+    print(f"of a whole request at {chosen.front:.0f} µs: throughput {share:.3f} of off")
+    print(f"{size / events:.1f} bytes an event, {size / chosen.requests:.1f} a request")
+    times = chosen.requests * GAP / 1000 / spent
+    print(f"replay: {events / spent:.0f} events a second, {times:.0f} times real time")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
