Cut a stretch out of a capture, and compare two captures event by event

An incident is a minute of an hour: capture cut writes it as a segment of its own, with the policy's state at its first event, so that it replays by itself; capture diff says where two segments differ first, in events and in decisions. GraphQL parts now carry their Request-Id into request.over.

--- a/badgercart/capture/commands.py
+++ b/badgercart/capture/commands.py
@@ -58,7 +58,7 @@
         rows.append(
             {
                 "segment": path.name, "node": segment.head["node"], "began": began, "events": count,
-                "seconds": round((last - first) / 1000, 1), "lost": lost,
+                "from_ms": round(first, 3), "to_ms": round(last, 3), "lost": lost,
                 "ending": Ending(segment.ending).name.lower(), "bytes": len(segment.data),
             }
         )  # fmt: skip
@@ -156,3 +156,39 @@
             click.echo("\n".join(lines))
     if not there:
         raise CommandError(f"no event is about request {number}")
+
+
+@capture.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--from", "begin", type=float, default=0.0, help="ms on the node's clock, as in `info`.")
+@click.option("--to", "end", type=float, default=float("inf"), help="ms on the node's clock.")
+@click.option("-o", "--output", required=True, type=click.Path(), help="Where the stretch goes.")
+def cut(file: str, begin: float, end: float, output: str) -> None:
+    """A stretch of a segment as one of its own, which replays from its first event."""
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.edit import cut as cut_out
+    from badgercart.capture.format import FormatError
+
+    try:
+        count = cut_out(Path(file), Path(output), begin, end)
+    except (FormatError, CodecError, OSError) as error:
+        raise CommandError(f"{file}: {error}") from None
+    click.echo(f"{output}: {count} events")
+
+
+@capture.command()
+@click.argument("first", type=click.Path(exists=True, dir_okay=False))
+@click.argument("second", type=click.Path(exists=True, dir_okay=False))
+def diff(first: str, second: str) -> None:
+    """Where two segments differ first, in events and in decisions; exit 1 if they do."""
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.edit import differences
+    from badgercart.capture.format import FormatError
+
+    try:
+        lines = list(differences(Path(first), Path(second)))
+    except (FormatError, CodecError, OSError) as error:
+        raise CommandError(str(error)) from None
+    for line in lines:
+        click.echo(line)
+    raise click.exceptions.Exit(Exit.FAILED if lines else Exit.DONE)
--- a/badgercart/fronts/graphql/execution.py
+++ b/badgercart/fronts/graphql/execution.py
@@ -30,6 +30,7 @@
     tenant: int
     key: int  # affinity
     due: float
+    name: bytes = b""  # the Request-Id that its server gets
 
 
 class PartCall:
@@ -135,7 +136,7 @@
         self.begun += 1
         call.request_id = self.join.number()
         order = call.order
-        intake = Intake(order.cls, order.tenant, order.key, order.due, call)
+        intake = Intake(order.cls, order.tenant, order.key, order.due, call, name=order.name)
         self.join.take(call.request_id, intake, call, self.carrier)
 
     def ended(self, number: int, outcome: Outcome) -> None:
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -233,6 +233,7 @@
                 tenant=request.tenant,
                 key=stable_id(part.affinity.encode()) if part.affinity else 0,
                 due=due,
+                name=b"%b.%d" % (request.name, number),
             )
             for number, part in enumerate(plan.parts)
         ]
