Read a segment's events in one place, and the policy's files once a process

Reading the change once more: cut, diff and explain each filtered a segment's records for its events; the allowed words of a setting were found by two functions; the policy's files were read and hashed anew for every segment that is replayed; the table of events was filled by names of modules that do not exist. Each has one piece now.

--- a/badgercart/capture/codec.py
+++ b/badgercart/capture/codec.py
@@ -12,6 +12,7 @@
 import io
 import pickle
 from collections.abc import Callable, Sequence
+from functools import cache
 from operator import attrgetter
 from pathlib import Path
 from typing import Any
@@ -145,6 +146,7 @@
     return plain
 
 
+@cache
 def module_digest() -> dict[str, str]:
     """The texts of the policy's files, by their SHA-256: decisions can only be the same by the same text."""
     files = [Path(str(module.__file__)) for module in (cottonhall.rules, cottonhall.fleet)]
--- a/badgercart/capture/edit.py
+++ b/badgercart/capture/edit.py
@@ -9,8 +9,7 @@
 
 from badgercart.capture.codec import CodecError, encode_actions, encode_event, freeze
 from badgercart.capture.format import Kind, Segment, event_record, head, record
-from badgercart.capture.replay import decide, read_event, start
-from cottonhall.interface import Event
+from badgercart.capture.replay import decide, events, start
 
 HEADS = ("settings", "seed", "module", "state")
 
@@ -25,10 +24,7 @@
     then: int = segment.head["running"]
     out: list[bytes] = []
     running = count = before = 0
-    for found in segment.records():
-        if found.kind is not Kind.EVENT:
-            continue
-        captured, now, event = read_event(found)
+    for captured, now, event in events(segment):
         if now >= end:
             break
         if now >= begin and not out:
@@ -50,10 +46,6 @@
     return count
 
 
-def _events(segment: Segment) -> Iterator[tuple[int, float, Event]]:
-    return (read_event(found) for found in segment.records() if found.kind is Kind.EVENT)
-
-
 def differences(first: Path, second: Path) -> Iterator[str]:
     """In words: what the heads differ in, then the first event and the first decision that differ.
 
@@ -63,7 +55,7 @@
         if one.head[name] != other.head[name]:
             yield f"{name}: differs"
     told_event = told_decision = False
-    pairs = itertools.zip_longest(_events(one), _events(other))
+    pairs = itertools.zip_longest(events(one), events(other))
     for number, (left, right) in enumerate(pairs):
         if left is None or right is None:
             yield f"event {number}: only in {second if left is None else first}"
--- a/badgercart/capture/explain.py
+++ b/badgercart/capture/explain.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from badgercart.capture.format import Kind, Segment
-from badgercart.capture.replay import read_event, start
+from badgercart.capture.format import Segment
+from badgercart.capture.replay import events, start
 from cottonhall.interface import (
     Action,
     Cancel,
@@ -136,15 +136,15 @@
     Raises FormatError, CodecError and OSError. One that began in an earlier segment is told from there on."""
     segment = Segment(path.read_bytes())
     # Deciding is dear: a segment that does not have the request is only searched.
-    events = [read_event(record) for record in segment.records() if record.kind is Kind.EVENT]
-    last = max((at for at, (_, _, event) in enumerate(events) if _of(event) == request_id), default=-1)
+    told = list(events(segment))
+    last = max((at for at, (_, _, event) in enumerate(told) if _of(event) == request_id), default=-1)
     if last < 0:
         return []
     policy = start(segment)
     policy.__class__ = Telling
     assert isinstance(policy, Telling)
     policy.notes = notes = Notes(request_id)
-    for _, now, event in events[: last + 1]:
+    for _, now, event in told[: last + 1]:
         mine = _of(event) == request_id
         if mine and not isinstance(event, Request):
             notes.lines.append(f"{now:.3f} ms  {_told(event)}")
--- a/badgercart/capture/replay.py
+++ b/badgercart/capture/replay.py
@@ -83,6 +83,11 @@
     return int.from_bytes(record.payload[:U32]), now, event
 
 
+def events(segment: Segment) -> Iterator[tuple[int, float, Event]]:
+    """What `read_event` gives of each event, in order. Raises CodecError."""
+    return (read_event(record) for record in segment.records() if record.kind is Kind.EVENT)
+
+
 def replay(path: Path, step: Step | None = None) -> Replayed:
     """One segment, to its end or to the first difference. Raises FormatError and OSError."""
     segment = Segment(path.read_bytes())
--- a/badgercart/operator/faults.py
+++ b/badgercart/operator/faults.py
@@ -135,7 +135,7 @@
         elif kind in BOUNDS and info is not None:
             yield path, f"{_shown(value)} is not within {_bounds(info)}{about}"
         elif kind == "literal_error" and info is not None:
-            choices = ", ".join(_choices(info.annotation))
+            choices = ", ".join(choices_of(info.annotation))
             yield path, f"{_shown(value)} is none of {choices}{about}"
         elif kind in ("model_type", "model_attributes_type", "dict_type"):
             yield path, "is no table"
@@ -164,7 +164,8 @@
     return found or model
 
 
-def _choices(annotation: Any) -> list[str]:
+def choices_of(annotation: Any) -> list[str]:
+    """The words that a setting may be, where it is one of a few."""
     if get_origin(annotation) is Literal:
         return [str(choice) for choice in get_args(annotation)]
-    return [choice for argument in get_args(annotation) for choice in _choices(argument)]
+    return [choice for argument in get_args(annotation) for choice in choices_of(argument)]
--- a/badgercart/operator/part.py
+++ b/badgercart/operator/part.py
@@ -1,6 +1,6 @@
 """What a part of an installation is: one front, one source of the server list, or a service beside them.
 
-A subsystem plugs in with one package and one line in `registry`. Its `part.py` holds a `PART`, a Declaration,
+A subsystem plugs in with one package and one line in `registry`. Its `part.py` holds `PARTS`, Declarations,
 and imports no library but pydantic until `build` is called: what is switched off costs nothing.
 """
 
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -21,10 +21,10 @@
 
 def load_events(modules: tuple[str, ...] = PARTS) -> None:
     """Fill the table of log events: those beside each part, the pool's and the operator's."""
-    for module in (*modules, "badgercart.carriers.pool.part", "badgercart.operator.part"):
-        name = f"{module.rpartition('.')[0]}.events"
-        if find_spec(name) is not None:
-            import_module(name)
+    packages = [module.rpartition(".")[0] for module in modules]
+    for package in (*packages, "badgercart.carriers.pool", "badgercart.operator"):
+        if find_spec(f"{package}.events") is not None:
+            import_module(f"{package}.events")
 
 
 @cache
--- a/badgercart/operator/render.py
+++ b/badgercart/operator/render.py
@@ -6,7 +6,7 @@
 import logging
 import re
 from collections.abc import Callable, Iterator, Mapping
-from typing import Any, Literal, get_args, get_origin
+from typing import Any
 
 from annotated_types import Ge, Le
 from pydantic import BaseModel
@@ -15,7 +15,7 @@
 
 from badgercart.core.events import TABLE
 from badgercart.operator import document
-from badgercart.operator.faults import Path, below, dotted, fields_of, many
+from badgercart.operator.faults import Path, below, choices_of, dotted, fields_of, many
 from badgercart.operator.file import describe, root_model
 from badgercart.operator.locate import lines_of
 from badgercart.operator.registry import declarations, load_events
@@ -96,7 +96,7 @@
     for suffix, unit in SUFFIXES.items():
         if name.endswith(suffix):
             return unit
-    found = _choices(info.annotation)
+    found = choices_of(info.annotation)
     if found:
         return ", ".join(f"`{choice}`" for choice in found)
     types = str(info.annotation) + str(info.metadata)
@@ -108,12 +108,6 @@
     return "text"
 
 
-def _choices(annotation: Any) -> list[str]:
-    if get_origin(annotation) is Literal:
-        return [str(choice) for choice in get_args(annotation)]
-    return []
-
-
 def _range(info: FieldInfo) -> str:
     low = [item.ge for item in info.metadata if isinstance(item, Ge)]
     high = [item.le for item in info.metadata if isinstance(item, Le)]
