--- a/badgercart/capture/codec.py
+++ b/badgercart/capture/codec.py
@@ -11,7 +11,7 @@
 import hashlib
 import io
 import pickle
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from functools import cache
 from operator import attrgetter
 from pathlib import Path
@@ -75,22 +75,31 @@
     """Bytes that are none of ours: what is wrong with them."""
 
 
-def encode_event(now: float, event: Event) -> bytes:
-    """`[number, now, [field, ...]]`, the fields in the order of the class."""
+def plain_event(now: float, event: Event) -> tuple[int, float, tuple[Any, ...]]:
+    """`(number, now, (field, ...))`, the fields in the order of the class. Nothing in it can change later."""
     kind = type(event)
-    fields: tuple[Any, ...] = _FIELDS[kind](event)
+    fields = _FIELDS[kind](event)
     if kind is ServerList:
         fields = (*fields[:-1], [_FIELDS[ServerEntry](entry) for entry in fields[-1]])
     elif kind is Request and fields[-1] is not None:
         fields = (*fields[:-1], sorted(fields[-1]))
-    return _encode((_EVENT_NUMBERS[kind], now, fields))
+    return _EVENT_NUMBERS[kind], now, fields
 
 
-def encode_actions(actions: Sequence[Action] | None) -> bytes:
-    """`[[number, [field, ...]], ...]`; nil where the policy raised."""
+def plain_actions(actions: Sequence[Action] | None) -> list[tuple[int, tuple[Any, ...]]] | None:
+    """`[(number, (field, ...)), ...]`; None where the policy raised."""
     if actions is None:
-        return _encode(None)
-    return _encode([(_ACTION_NUMBERS[type(action)], _FIELDS[type(action)](action)) for action in actions])
+        return None
+    return [(_ACTION_NUMBERS[type(action)], _FIELDS[type(action)](action)) for action in actions]
+
+
+def encode_actions(actions: Sequence[Action] | None) -> bytes:
+    """As MessagePack; nil where the policy raised."""
+    return _encode(plain_actions(actions))
+
+
+Told = tuple[int, float, tuple[Any, ...], "list[tuple[int, tuple[Any, ...]]] | None"]
+encode_batch: Callable[[list[Told]], bytes] = _encode
 
 
 def _server_list(kind: int, version: int, servers: list[list[Any]]) -> ServerList:
@@ -127,16 +136,52 @@
 }
 
 
+_BATCH: msgspec.msgpack.Decoder[list[tuple[int, float, list[Any], msgspec.Raw]]] = msgspec.msgpack.Decoder(
+    list[tuple[int, float, list[Any], msgspec.Raw]]
+)
+
+
+def _event(number: int, fields: list[Any]) -> Event:
+    kind = EVENTS[number]
+    made: Event = _READ.get(kind, kind)(*fields)
+    return made
+
+
 def decode_event(data: bytes) -> tuple[float, Event]:
-    """Raises CodecError."""
+    """An event by itself, as format 1 has it. Raises CodecError."""
     try:
         number, now, fields = msgspec.msgpack.decode(data)
-        kind = EVENTS[number]
-        return float(now), _READ.get(kind, kind)(*fields)
+        return float(now), _event(number, fields)
     except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
         raise CodecError(f"no event: {error}") from None
 
 
+def decode_batch(data: bytes) -> Iterator[tuple[float, Event, bytes]]:
+    """Each event with its time and what was decided by it, as `encode_actions` has it. Raises CodecError."""
+    try:
+        for number, now, fields, actions in _BATCH.decode(data):
+            yield now, _event(number, fields), bytes(actions)
+    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
+        raise CodecError(f"no batch of events: {error}") from None
+
+
+def decode_actions(data: bytes) -> list[Action] | None:
+    """Raises CodecError."""
+    try:
+        plain = msgspec.msgpack.decode(data)
+        return None if plain is None else [_action(number, fields) for number, fields in plain]
+    except (msgspec.MsgspecError, ValueError, TypeError, IndexError) as error:
+        raise CodecError(f"no actions: {error}") from None
+
+
+def _action(number: int, fields: list[Any]) -> Action:
+    kind = ACTIONS[number]
+    if kind is Send:
+        return Send(fields[0], fields[1], fields[2], tuple(fields[3]))
+    made: Action = kind(*fields)
+    return made
+
+
 # Settings.
 
 
@@ -146,6 +191,14 @@
     return plain
 
 
+def decode_settings(plain: dict[str, Any]) -> Settings:
+    """Raises CodecError."""
+    try:
+        return msgspec.convert(plain, Settings)
+    except msgspec.MsgspecError as error:
+        raise CodecError(f"no settings: {error}") from None
+
+
 @cache
 def module_digest() -> dict[str, str]:
     """The texts of the policy's files, by their SHA-256: decisions can only be the same by the same text."""
--- a/badgercart/capture/commands.py
+++ b/badgercart/capture/commands.py
@@ -38,7 +38,7 @@
 def info(files: tuple[str, ...], as_json: bool) -> None:
     """What each segment holds."""
     from badgercart.capture.format import Ending, FormatError, Kind, Segment
-    from badgercart.capture.replay import read_event
+    from badgercart.capture.replay import decided
 
     rows: list[dict[str, Any]] = []
     for path in found(files):
@@ -46,20 +46,22 @@
             segment = Segment(path.read_bytes())
         except (FormatError, OSError) as error:
             raise CommandError(f"{path}: {error}") from None
-        count = lost = 0
+        count = lost = notes = jumps = 0
         first = last = 0.0
         for record in segment.records():
-            if record.kind is Kind.EVENT:
-                _, now, _ = read_event(record)
-                first, last, count = first or now, now, count + 1
-            elif record.kind is Kind.GAP:
+            for item in decided(record):
+                first, count, jumps = first or item.now, count + 1, jumps + (item.now < last)
+                last = item.now
+            if record.kind is Kind.GAP:
                 lost += int.from_bytes(record.payload)
+            notes += record.kind is Kind.NOTE
         began = datetime.fromtimestamp(segment.head["wall_ms"] / 1000, UTC).isoformat(timespec="seconds")
         rows.append(
             {
-                "segment": path.name, "node": segment.head["node"], "began": began, "events": count,
-                "from_ms": round(first, 3), "to_ms": round(last, 3), "lost": lost,
-                "ending": Ending(segment.ending).name.lower(), "bytes": len(segment.data),
+                "segment": path.name, "format": segment.version, "node": segment.head["node"], "began": began,
+                "events": count, "notes": notes, "from_ms": round(first, 3), "to_ms": round(last, 3),
+                "clock_back": jumps, "lost": lost, "ending": Ending(segment.ending).name.lower(),
+                "bytes": len(segment.data),
             }
         )  # fmt: skip
     if as_json:
@@ -71,11 +73,15 @@
 @capture.command()
 @FILES
 def verify(files: tuple[str, ...]) -> None:
-    """Whether every record is as it was written; exit 1 if one is not, or a segment is cut off."""
+    """Whether every record is as it was written; exit 1 if one is not, or a segment is cut off or missing."""
     from badgercart.capture.format import Ending, FormatError, Segment
+    from badgercart.capture.replay import missing
 
-    bad = 0
-    for path in found(files):
+    paths, bad = found(files), 0
+    for words in missing(paths):
+        click.echo(words)
+        bad += 1
+    for path in paths:
         try:
             segment = Segment(path.read_bytes())
             count = sum(1 for _ in segment.records())
@@ -95,46 +101,83 @@
 @click.option("-o", "--output", required=True, type=click.Path(), help="Where the mended segment goes.")
 def repair(file: str, output: str) -> None:
     """Keep what is whole of a segment that was cut off or damaged, and close it."""
-    from badgercart.capture.format import FormatError, Kind, Segment, record
+    from badgercart.capture.format import FormatError, Kind, Segment
 
     try:
         segment = Segment(Path(file).read_bytes())
     except FormatError as error:
         raise CommandError(f"{file}: {error}") from None
-    records = [found.kind for found in segment.records()]
-    end = b"" if records[-1:] == [Kind.END] else record(Kind.END, b"")
+    records = list(segment.records())
+    index = next((record.offset for record in records if record.kind is Kind.INDEX), 0)
+    end = b"" if records and records[-1].kind is Kind.END else segment.close(index)
     Path(output).write_bytes(segment.data[: segment.good] + end)
     click.echo(f"{output}: {len(records)} records kept, {len(segment.data) - segment.good} bytes left out")
 
 
 @capture.command()
 @FILES
-@click.option("--force", is_flag=True, help="Also where the policy's text is another one than it was then.")
+@click.option(
+    "--force", is_flag=True, help="Where the policy's text is another one than it was then, say what changes."
+)
 def replay(files: tuple[str, ...], force: bool) -> None:
     """Decide everything anew; exit 0 only where all decisions are the same."""
-    from badgercart.capture.replay import replay_all
+    from badgercart.capture.replay import missing, replay_all
 
-    paths, bad, events = found(files), 0, 0
-    quiet = not Console(stderr=True).is_terminal
+    paths, bad, events, notes, others = found(files), 0, 0, 0, []
     for told in track(
-        replay_all(paths), "replaying", total=len(paths), console=Console(stderr=True), disable=quiet
+        replay_all(paths), "replaying", total=len(paths), console=Console(stderr=True), disable=quiet()
     ):
-        events += told.events
-        if told.other_module and not force:
-            raise CommandError(
-                f"{told.name}: the policy's text is another one now; --force plays it all the same"
-            )
+        if told.other_module:
+            if not force:
+                raise CommandError(
+                    f"{told.name}: the policy's text is another one now; --force says what that changes"
+                )
+            others.append(told.name)
+        events, notes = events + told.events, notes + told.notes
         for fault in told.faults:
             click.echo(f"{told.name}: {fault}")
         if (other := told.difference) is not None:
-            click.echo(f"{told.name}: record {other.record} at {other.now:.3f} ms is decided otherwise")
-            click.echo(f"  {other.event}")
-            click.echo(f"  now: {other.actions}")
+            click.echo(f"{told.name}: event {other.record} at {other.now:.3f} ms is decided otherwise")
+            click.echo(f"  {other.event}\n  now:  {other.actions}")
+            if other.then is not None:
+                click.echo(f"  then: {other.then}")
         bad += not told.identical
-    click.echo(f"{events} events, {len(paths)} segments: {'differing' if bad else 'identical'}")
+    for words in missing(paths):
+        click.echo(words)
+    more = f", {notes} notes of other machines" if notes else ""
+    click.echo(f"{events} events{more}, {len(paths)} segments: {'differing' if bad else 'identical'}")
+    if others and bad:
+        show_change([path for path in paths if path.name in others])
     raise click.exceptions.Exit(Exit.FAILED if bad else Exit.DONE)
 
 
+def quiet() -> bool:
+    return not Console(stderr=True).is_terminal
+
+
+def show_change(paths: list[Path]) -> None:
+    """What another policy would have made of the night, by the assumptions of `whatif`."""
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.format import FormatError, Segment
+    from badgercart.capture.replay import events, start
+    from badgercart.capture.whatif import Change, what_if
+
+    change = Change()
+    for path in track(paths, "what if", console=Console(stderr=True), disable=quiet()):
+        try:
+            segment = Segment(path.read_bytes())
+            what_if(start(segment), events(segment), change)
+        except (FormatError, CodecError, OSError) as error:
+            click.echo(f"{path}: {error}")
+    sent, refused = sum(change.sent_now.values()), sum(change.refused_now.values())
+    click.echo(f"by the policy of now, {change.differing} requests go otherwise (estimated):")
+    click.echo(f"  sent elsewhere {change.elsewhere}")
+    click.echo(f"  sent, turned away then {sent}: worth {change.gained:g}")
+    click.echo(f"  turned away, sent then {refused}: worth {change.lost:g}")
+    for line in change.first:
+        click.echo(f"  {line}")
+
+
 @capture.command()
 @FILES
 @click.argument("number", type=int)
@@ -176,6 +219,46 @@
     click.echo(f"{output}: {count} events")
 
 
+@capture.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("-o", "--output", required=True, type=click.Path(), help="Where the new capture goes.")
+def anonymise(file: str, output: str) -> None:
+    """A segment under other names, decided anew: a night like it that gives no key, server or tenant away."""
+    from badgercart.capture.anonymise import anonymise as rename
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.format import FormatError
+
+    try:
+        count, requests = rename(Path(file), Path(output))
+    except (FormatError, CodecError, OSError) as error:
+        raise CommandError(f"{file}: {error}") from None
+    click.echo(f"{output}: {count} events of {requests} requests, decided anew under other names")
+
+
+@capture.command()
+@FILES
+@click.option("-o", "--output", required=True, type=click.Path(), help="The page to write, HTML.")
+def report(files: tuple[str, ...], output: str) -> None:
+    """One page with the course of x and cut, requests, errors, refusals and servers."""
+    from badgercart.capture.codec import CodecError
+    from badgercart.capture.format import FormatError
+    from badgercart.capture.report import Course, page
+
+    course, paths = Course(), found(files)
+    for path in track(paths, "reading", console=Console(stderr=True), disable=quiet()):
+        try:
+            course.read(path)
+        except (FormatError, CodecError, OSError) as error:
+            raise CommandError(f"{path}: {error}") from None
+    if not course.rows:
+        raise CommandError(f"{', '.join(files)}: there is no event")
+    try:
+        Path(output).write_text(page(course))
+    except ImportError as error:
+        raise CommandError(f"a report takes matplotlib (extra capture-report): {error}") from None
+    click.echo(f"{output}: {course.events} events")
+
+
 @capture.command()
 @click.argument("first", type=click.Path(exists=True, dir_okay=False))
 @click.argument("second", type=click.Path(exists=True, dir_okay=False))
--- a/badgercart/capture/edit.py
+++ b/badgercart/capture/edit.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import itertools
-import zlib
 from collections.abc import Iterator
 from pathlib import Path
 
-from badgercart.capture.codec import CodecError, encode_actions, encode_event, freeze
-from badgercart.capture.format import Kind, Segment, event_record, head, record
+from badgercart.capture.build import Builder
+from badgercart.capture.codec import CodecError, decode_actions, freeze
+from badgercart.capture.format import Segment
 from badgercart.capture.replay import decide, events, start
 
 HEADS = ("settings", "seed", "module", "state")
@@ -21,29 +21,25 @@
     comes out otherwise than it was captured. Raises FormatError and OSError too."""
     segment = Segment(source.read_bytes())
     policy = start(segment)
-    then: int = segment.head["running"]
-    out: list[bytes] = []
-    running = count = before = 0
-    for captured, now, event in events(segment):
-        if now >= end:
+    built: Builder | None = None
+    running = before = 0
+    for item in events(segment):
+        if item.now >= end:
             break
-        if now >= begin and not out:
-            state = freeze(policy)
-            out.append(head(segment.head | {"state": state, "running": 0, "events_before": before}))
-        decided = encode_actions(decide(policy, now, event))
-        then = zlib.crc32(decided, then)
-        if then != captured:
-            raise CodecError(f"the event at {now:.3f} ms is decided otherwise now")
-        if out:
-            running = zlib.crc32(decided, running)
-            out.append(event_record(running, encode_event(now, event)))
-            count += 1
-        else:
+        if item.now >= begin and built is None:
+            built = Builder(segment.head | {"state": freeze(policy), "events_before": before})
+        actions = decide(policy, item.now, item.event)
+        same, running = item.same(actions, running)
+        if not same:
+            raise CodecError(f"the event at {item.now:.3f} ms is decided otherwise now")
+        if built is None:
             before += 1
-    if not count:
+        else:
+            built.add(item.now, item.event, actions)
+    if built is None:
         raise CodecError(f"there is no event from {begin:g} to {end:g} ms")
-    output.write_bytes(b"".join((*out, record(Kind.END, b""))))
-    return count
+    output.write_bytes(built.data())
+    return built.events
 
 
 def differences(first: Path, second: Path) -> Iterator[str]:
@@ -60,12 +56,13 @@
         if left is None or right is None:
             yield f"event {number}: only in {second if left is None else first}"
             return
-        if left[1:] != right[1:] and not told_event:
+        if (left.now, left.event) != (right.now, right.event) and not told_event:
             told_event = True
-            here, there = (f"{now:.3f} ms {event}" for _, now, event in (left, right))
+            here, there = (f"{item.now:.3f} ms {item.event}" for item in (left, right))
             yield f"event {number}: {here} in {first}, {there} in {second}"
-        if left[0] != right[0] and not told_decision:
+        if (left.then, left.running) != (right.then, right.running) and not told_decision:
             told_decision = True
-            yield f"event {number}: decided otherwise"
+            one_did, other_did = (decode_actions(i.then) if i.then else None for i in (left, right))
+            yield f"event {number}: decided otherwise: {one_did} in {first}, {other_did} in {second}"
         if told_event and told_decision:
             return
--- a/badgercart/capture/explain.py
+++ b/badgercart/capture/explain.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from badgercart.capture.format import Segment
+from badgercart.capture.format import Segment, read_index
 from badgercart.capture.replay import events, start
 from cottonhall.interface import (
     Action,
@@ -130,21 +130,30 @@
     return type(action).__name__.lower()
 
 
+def may_hold(data: bytes, request_id: int) -> bool:
+    """Whether a segment may hold events about a request; one without an index may."""
+    index = read_index(data, 0)
+    return index is None or index.low <= request_id <= index.high
+
+
 def explain(path: Path, request_id: int) -> list[str]:
     """The life of a request, line by line; empty where this segment does not have it.
 
     Raises FormatError, CodecError and OSError. One that began in an earlier segment is told from there on."""
     segment = Segment(path.read_bytes())
     # Deciding is dear: a segment that does not have the request is only searched.
+    if not may_hold(segment.data, request_id):
+        return []
     told = list(events(segment))
-    last = max((at for at, (_, _, event) in enumerate(told) if _of(event) == request_id), default=-1)
+    last = max((at for at, item in enumerate(told) if _of(item.event) == request_id), default=-1)
     if last < 0:
         return []
     policy = start(segment)
     policy.__class__ = Telling
     assert isinstance(policy, Telling)
     policy.notes = notes = Notes(request_id)
-    for _, now, event in told[: last + 1]:
+    for item in told[: last + 1]:
+        now, event = item.now, item.event
         mine = _of(event) == request_id
         if mine and not isinstance(event, Request):
             notes.lines.append(f"{now:.3f} ms  {_told(event)}")
--- a/badgercart/capture/format.py
+++ b/badgercart/capture/format.py
@@ -4,8 +4,10 @@
     head    = length u32 | crc32 u32 | MessagePack map
     record  = length u32 | crc32 u32 | kind u8 | payload      (length and crc32 cover kind and payload)
 
-All numbers are big-endian; crc32 is zlib's. Kinds: 1 EVENT (decisions' running crc32 u32, then the event),
-2 INDEX (MessagePack [[record, time, offset], ...]), 3 GAP (count u64), 4 END (empty: the segment is whole).
+All numbers are big-endian; crc32 is zlib's. Kinds: 5 BATCH (MessagePack [event, ...]), 6 NOTE (MessagePack:
+what another deciding machine was told), 2 INDEX (MessagePack map), 3 GAP (count u64), 4 END (offset of the
+index u64: the segment is whole). Format 1, which is read still, has 1 EVENT (decisions' running crc32 u32,
+then the event), a list in INDEX, and an empty END.
 """
 
 from __future__ import annotations
@@ -20,12 +22,12 @@
 import msgspec
 
 MAGIC = b"BCAP"
-VERSION = 1
+VERSION = 2
+READABLE = (1, 2)
 PREFIX = struct.Struct(">4sH")
 FRAME = struct.Struct(">II")
-EVENT = struct.Struct(">BI")
+OFFSET = struct.Struct(">Q")
 MAX_RECORD = 1 << 26  # bytes; a longer one is damage
-INDEX_EVERY = 4096  # records between entries of the index
 
 
 class FormatError(Exception):
@@ -33,10 +35,12 @@
 
 
 class Kind(IntEnum):
-    EVENT = 1
+    EVENT = 1  # format 1 only
     INDEX = 2
     GAP = 3
     END = 4
+    BATCH = 5
+    NOTE = 6
 
 
 class Ending(IntEnum):
@@ -47,6 +51,10 @@
     DAMAGED = 2  # a record's bytes are not those that were written
 
 
+KINDS = frozenset(Kind)
+END_SIZE = FRAME.size + 1 + OFFSET.size
+
+
 @dataclass(slots=True, frozen=True)
 class Record:
     kind: Kind
@@ -64,10 +72,45 @@
     return FRAME.pack(len(body), zlib.crc32(body)) + body
 
 
-def event_record(running: int, event: bytes) -> bytes:
-    """The same for an event, in one go."""
-    body = EVENT.pack(Kind.EVENT, running) + event
-    return FRAME.pack(len(body), zlib.crc32(body)) + body
+def end_record(index: int) -> bytes:
+    """The last record; `index` is the offset of the one before it."""
+    return record(Kind.END, OFFSET.pack(index))
+
+
+class Index(msgspec.Struct, frozen=True):
+    """What a whole segment holds, at its end: enough to know whether it is worth reading."""
+
+    events: int
+    lost: int
+    begin: float  # ms on the node's clock, of the first event and the last
+    end: float
+    low: int  # no event is about a request with a lower number; 0: about none
+    high: int
+    marks: list[tuple[int, float, int]]  # event, its time, offset of the record that it begins
+
+
+_INDEX: msgspec.msgpack.Decoder[Index] = msgspec.msgpack.Decoder(Index)
+
+
+def read_index(tail: bytes, data_from: int) -> Index | None:
+    """The index by the last bytes of a file, from offset `data_from` on; None where it is not there."""
+    if len(tail) < END_SIZE:
+        return None
+    length, crc = FRAME.unpack_from(tail, len(tail) - END_SIZE)
+    body = tail[len(tail) - END_SIZE + FRAME.size :]
+    if length != len(body) or zlib.crc32(body) != crc or body[0] != Kind.END:
+        return None
+    at = OFFSET.unpack_from(body, 1)[0] - data_from
+    if not 0 <= at <= len(tail) - END_SIZE - FRAME.size:
+        return None
+    length, crc = FRAME.unpack_from(tail, at)
+    body = tail[at + FRAME.size : at + FRAME.size + length]
+    if zlib.crc32(body) != crc or body[:1] != bytes((Kind.INDEX,)):
+        return None
+    try:
+        return _INDEX.decode(body[1:])
+    except msgspec.MsgspecError:
+        return None
 
 
 class Segment:
@@ -81,8 +124,8 @@
         if len(data) < PREFIX.size:
             raise FormatError("the head is cut off")
         _, self.version = PREFIX.unpack_from(data)
-        if self.version != VERSION:
-            raise FormatError(f"format {self.version} is not read here, only {VERSION}")
+        if self.version not in READABLE:
+            raise FormatError(f"format {self.version} is not read here, only {READABLE[0]} to {READABLE[-1]}")
         try:
             length, crc = FRAME.unpack_from(data, PREFIX.size)
         except struct.error:
@@ -110,7 +153,7 @@
             if end > len(data):
                 return
             body = data[at + FRAME.size : end]
-            if zlib.crc32(body) != crc or body[0] not in Kind.__members__.values():
+            if zlib.crc32(body) != crc or body[0] not in KINDS:
                 self.ending = Ending.DAMAGED
                 return
             self.good = end
@@ -119,3 +162,7 @@
                 self.ending = Ending.WHOLE
                 return
             at = end
+
+    def close(self, index: int | None = None) -> bytes:
+        """What the last record of a segment of this version is; for format 2 the offset of its index."""
+        return record(Kind.END, b"") if self.version == 1 else end_record(index or 0)
--- a/badgercart/capture/part.py
+++ b/badgercart/capture/part.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path as FilePath
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,7 @@
         )
         host.join.tap = self.capture.tap
         self.timer: asyncio.TimerHandle | None = None
+        self.undo: list[Callable[[], None]] = []
         host.meters.counter(
             "badgercart_capture_events", "Events that were captured.", lambda: self.capture.total
         )
@@ -42,7 +44,17 @@
             lambda: self.capture.disk.waiting + self.capture.out_size,
         )
 
+    def join_streams(self) -> None:
+        """Have the other deciding machines on the same tap; they are all made by now."""
+        from badgercart.capture.streams import snapshot, watch
+
+        for name, machine in self.host.machines.items():
+            self.capture.snapshots.append(partial(snapshot, name, machine))
+            self.capture.note(snapshot(name, machine))
+            self.undo.append(watch(name, machine, self.capture.note))
+
     async def start(self) -> None:
+        self.join_streams()
         WRITING(folder=str(self.folder))
         self.flush()
 
@@ -55,7 +67,12 @@
 
     def failed(self, error: OSError) -> None:
         OFF(error=error)
+        self.leave()
+
+    def leave(self) -> None:
         self.host.join.tap = None
+        while self.undo:
+            self.undo.pop()()
 
     def prepare(self, settings: CaptureSettings) -> Callable[[], None] | None:
         """Nothing here changes without a restart."""
@@ -68,7 +85,7 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.host.join.tap is not None:
-            self.host.join.tap = None
+            self.leave()
             self.capture.close()
 
 
--- /dev/null
+++ b/badgercart/capture/report.py
@@ -0,0 +1,224 @@
+"""The course of a captured night, as one HTML page without outside references.
+
+Why matplotlib: it draws SVG that every browser shows as it is, with nothing to load. Captures are decided
+anew to know x, the cut and what is in flight, which no event holds.
+"""
+
+from __future__ import annotations
+
+import html
+import io
+import logging
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from badgercart.capture.format import Segment
+from badgercart.capture.replay import events, start
+from cottonhall.interface import (
+    Action,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    ServerList,
+    State,
+)
+from cottonhall.rules import Policy
+
+STEP = 1000.0  # ms of the night in a point of the plots
+MAX_ROWS = 86_400  # points; a longer capture is told to be cut
+WORST = 12  # servers in the table
+
+
+@dataclass(slots=True)
+class Row:
+    """One step of the night."""
+
+    at: float  # ms on the node's clock
+    taken: Counter[int] = field(default_factory=Counter)  # by class
+    refused: Counter[int] = field(default_factory=Counter)
+    sent: int = 0
+    results: Counter[int] = field(default_factory=Counter)
+    x: float = 0.0
+    cut: float = 0.0
+    errors: float = 0.0
+    flying: int = 0
+    need: float = 0.0
+    ready: int = 0
+    draining: int = 0
+    resting: int = 0
+    slow: int = 0
+
+
+@dataclass(slots=True)
+class ServerSum:
+    attempts: int = 0
+    failed: int = 0
+    took: float = 0.0  # ms, of those that served
+    served: int = 0
+
+
+class Course:
+    """Reads segments in their order and sums the night up in steps."""
+
+    def __init__(self) -> None:
+        self.rows: list[Row] = []
+        self.servers: dict[int, ServerSum] = {}
+        self.classes: dict[int, int] = {}  # of requests under way
+        self.states: dict[int, State] = {}
+        self.finals: Counter[str] = Counter()
+        self.worths: tuple[float, ...] = ()
+        self.events = 0
+        self.node = ""
+        self.gaps: list[float] = []
+
+    def read(self, path: Path) -> None:
+        """Raises FormatError, CodecError and OSError."""
+        segment = Segment(path.read_bytes())
+        policy = start(segment)
+        self.node = segment.head["node"]
+        self.worths = tuple(cls.worth for cls in policy.settings.classes)
+        for server in policy.servers.values():
+            self.states.setdefault(server.entry.id, server.entry.state)
+        for item in events(segment):
+            try:
+                actions = policy.handle(item.now, item.event)
+            except Exception:  # as it did then
+                actions = []
+            self.take(policy, item.now, item.event, actions)
+
+    def take(self, policy: Policy, now: float, event: Event, actions: list[Action]) -> None:
+        self.events += 1
+        row = self.row(policy, now)
+        if isinstance(event, Request):
+            row.taken[event.cls] += 1
+            self.classes[event.id] = event.cls
+        elif isinstance(event, Outcome):
+            row.results[event.result] += 1
+            told = self.servers.setdefault(event.server, ServerSum())
+            told.attempts += 1
+            if event.result == Result.OK:
+                told.served += 1
+                told.took += event.elapsed
+            elif event.result != Result.CANCELLED:
+                told.failed += 1
+            if event.over and self.classes.pop(event.id, None) is not None:
+                self.finals["served" if event.result == Result.OK else "ended otherwise"] += 1
+        elif isinstance(event, ServerList):
+            self.states.update((line.id, line.state) for line in event.servers)
+        for action in actions:
+            if isinstance(action, Send):
+                row.sent += 1
+            elif isinstance(action, Refuse | Fail):
+                row.refused[self.classes.pop(action.id, -1)] += 1
+                self.finals["refused" if isinstance(action, Refuse) else "failed"] += 1
+
+    def row(self, policy: Policy, now: float) -> Row:
+        at = now - now % STEP
+        if self.rows and at <= self.rows[-1].at:
+            return self.rows[-1]
+        if len(self.rows) >= MAX_ROWS:
+            raise OSError(f"more than {MAX_ROWS} s: cut a stretch out first")
+        if self.rows and at - self.rows[-1].at > 10 * STEP:
+            self.gaps.append(at)
+        states = Counter(self.states.values())
+        row = Row(
+            at, x=policy.x, cut=policy.cut, errors=policy.errors, flying=policy.flying, need=policy.need,
+            ready=states[State.READY], draining=states[State.DRAINING],
+            resting=sum(
+                any(h.rest_until > now for h in s.health) for s in policy.servers.values()
+            ),
+            slow=sum(s.slow > 2 for s in policy.servers.values()),
+        )  # fmt: skip
+        self.rows.append(row)
+        return row
+
+
+def _plots(course: Course) -> str:
+    """All plots over one axis of time, as SVG."""
+    import matplotlib
+
+    logging.getLogger("matplotlib").setLevel(logging.WARNING)  # it tells of its fonts
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    rows = course.rows
+    times = [(row.at - rows[0].at) / 1000 for row in rows]
+    figure, axes = pyplot.subplots(5, 1, figsize=(11, 14), sharex=True, layout="constrained")
+
+    def lines(place: int, title: str, unit: str, series: dict[str, list[Any]]) -> None:
+        for name, values in series.items():
+            axes[place].plot(times, values, label=name, linewidth=1.2)
+        axes[place].set_title(title, loc="left", fontsize=11)
+        axes[place].set_ylabel(unit)
+        axes[place].grid(alpha=0.3)
+        if series:
+            axes[place].legend(loc="upper right", fontsize=8)
+
+    classes = range(len(course.worths))
+    lines(0, "Overload", "0 to 1", {
+        "x": [r.x for r in rows], "cut / 100": [r.cut / 100 for r in rows],
+        "share of attempts that fail": [r.errors for r in rows],
+    })  # fmt: skip
+    offered = {f"class {c} (worth {course.worths[c]:g}), taken": [r.taken[c] for r in rows] for c in classes}
+    lines(1, "Requests", "a second", offered)
+    lines(2, "Turned away", "a second", {f"class {c}": [r.refused[c] for r in rows] for c in classes})
+    ends = sorted({result for r in rows for result in r.results})
+    attempts: dict[str, list[Any]] = {"in flight": [r.flying for r in rows], "need": [r.need for r in rows]}
+    attempts |= {Result(e).name.lower(): [r.results[e] for r in rows] for e in ends}
+    lines(3, "Attempts: in flight, need, ends", "count, a second", attempts)
+    lines(4, "Servers", "count", {
+        "ready": [r.ready for r in rows], "draining": [r.draining for r in rows],
+        "resting": [r.resting for r in rows], "answering at half pace or less": [r.slow for r in rows],
+    })  # fmt: skip
+    axes[4].set_xlabel("seconds from the first event")
+    for gap in course.gaps:
+        for axis in axes:
+            axis.axvline((gap - rows[0].at) / 1000, color="grey", linestyle=":", linewidth=0.8)
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem;color:#222}
+svg{width:100%;height:auto}table{border-collapse:collapse}td,th{padding:.2rem .8rem;text-align:right;
+border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"""
+
+
+def _table(head: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
+    cells = "".join(f"<th>{html.escape(name)}</th>" for name in head)
+    lines = ("".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) for row in rows)
+    return f"<table><tr>{cells}</tr>" + "".join(f"<tr>{line}</tr>" for line in lines) + "</table>"
+
+
+def page(course: Course) -> str:
+    """The whole page. Raises ImportError where matplotlib is not there."""
+    seconds = (course.rows[-1].at - course.rows[0].at) / 1000
+    worst = sorted(course.servers.items(), key=lambda item: (-item[1].failed, item[0]))[:WORST]
+    servers: list[tuple[object, ...]] = [
+        (f"{number:x}", told.attempts, told.failed, f"{told.took / told.served:.0f}" if told.served else "-")
+        for number, told in worst
+    ]
+    taken = sum(sum(row.taken.values()) for row in course.rows)
+    ends: list[tuple[object, ...]] = list(course.finals.most_common())
+    title = html.escape(f"Capture of {course.node or 'a node'}")
+    return "\n".join(
+        (
+            f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>{title}</title>',
+            f"<style>{STYLE}</style></head><body><h1>{title}</h1>",
+            f"<p>{course.events} events, {taken} requests in {seconds:.0f} s.</p>",
+            _plots(course),
+            "<h2>How requests ended</h2>",
+            _table(("end", "requests"), ends),
+            "<h2>Servers, those that failed most first</h2>",
+            _table(("server", "attempts", "failed", "mean ms"), servers),
+            "</body></html>\n",
+        )
+    )
--- a/badgercart/capture/settings.py
+++ b/badgercart/capture/settings.py
@@ -12,10 +12,10 @@
 
     folder: Name = Field(description="where the segments are written; it must be there")
     segment_bytes: int = Field(
-        16 << 20,
+        1 << 19,
         ge=1 << 16,
         le=1 << 30,
-        description="the size of a segment (bytes); then a new one begins",
+        description="the size of a segment (bytes); then a new one begins, which holds the policy's state",
     )
     keep_bytes: int = Field(
         512 << 20,
--- /dev/null
+++ b/badgercart/capture/streams.py
@@ -0,0 +1,153 @@
+"""Other deciding machines on the same tap: what each was told, what it answered, and its replay. No I/O.
+
+A machine joins by being named here and by its part handing it to `Host.machines`. While a capture runs, the
+named methods of that one object are wrapped; otherwise they are the class's own and cost nothing. A note is
+MessagePack `[name, kind, method, [argument, ...], result]`; the method "" gives the whole state, as a segment
+begins with it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import Any
+
+import msgspec
+
+from badgercart.capture.codec import CodecError
+from badgercart.fronts.processor.account import Account, Proxy
+from badgercart.fronts.processor.settings import OldAnswers
+from badgercart.membership.freshness import Freshness, Rule
+
+_encode = msgspec.msgpack.Encoder().encode
+STATE = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Form:
+    """How one kind of machine is captured and played back."""
+
+    kind: str
+    methods: tuple[str, ...]
+    save: Callable[[Any], Any]  # its state as plain data
+    load: Callable[[Any], Any]
+    plain: Callable[[Any], Any] = lambda value: value  # an argument or a result as plain data
+    # A plain argument of a method as the machine takes it.
+    back: Callable[[Any, str, Any], Any] = lambda machine, method, value: value
+
+
+def _load_freshness(state: Any) -> Freshness:
+    rule, proved = state
+    made = Freshness(Rule(*rule))
+    made.proved = proved
+    return made
+
+
+def _save_account(account: Account) -> Any:
+    rule = account.rule.model_dump()
+    names = [field.name for field in fields(Proxy)]
+    plain = [[getattr(proxy, name) for name in names] for proxy in account.proxies.values()]
+    return rule, [[list(value) if isinstance(value, deque) else value for value in row] for row in plain]
+
+
+def _load_account(state: Any) -> Account:
+    rule, proxies = state
+    account = Account(OldAnswers.model_validate(rule))
+    for row in proxies:
+        proxy = Proxy(*row)
+        proxy.uses = deque(proxy.uses)
+        account.proxies[proxy.name] = proxy
+    return account
+
+
+FORMS: dict[type, Form] = {
+    Freshness: Form(
+        "freshness",
+        ("proof", "state", "next_change"),
+        lambda machine: ((machine.rule.doubtful_after, machine.rule.stale_after), machine.proved),
+        _load_freshness,
+        lambda value: getattr(value, "value", value),
+    ),
+    Account: Form(
+        "account",
+        ("proxy", "standing", "used_old"),
+        _save_account,
+        _load_account,
+        lambda value: value.name if isinstance(value, Proxy) else getattr(value, "value", value),
+        lambda machine, method, value: machine.proxies[value]
+        if method != "proxy" and type(value) is str
+        else value,
+    ),
+}
+
+
+def _encode_note(name: str, form: Form, method: str, args: tuple[Any, ...], result: Any) -> bytes:
+    return _encode((name, form.kind, method, args, result))
+
+
+def snapshot(name: str, machine: object) -> bytes:
+    """A machine's whole state as a note."""
+    form = FORMS[type(machine)]
+    return _encode_note(name, form, STATE, (form.save(machine),), None)
+
+
+def watch(name: str, machine: Any, told: Callable[[bytes], None]) -> Callable[[], None]:
+    """Have every call of the named methods told as a note; gives what undoes it. KeyError: no such form."""
+    form = FORMS[type(machine)]
+
+    def wrapped(method: str, plain: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*args: Any) -> Any:
+            if known[1]:  # the machine asks itself: a replay will do so too
+                return plain(*args)
+            rule = getattr(machine, "rule", None)
+            if rule is not known[0]:  # its settings were replaced: a state says so
+                known[0] = rule
+                told(snapshot(name, machine))
+            known[1] = True
+            try:
+                result = plain(*args)
+            finally:
+                known[1] = False
+            told(_encode_note(name, form, method, tuple(map(form.plain, args)), form.plain(result)))
+            return result
+
+        return call
+
+    known = [getattr(machine, "rule", None), False]  # its settings, and whether a call is on
+    for method in form.methods:
+        setattr(machine, method, wrapped(method, getattr(machine, method)))
+
+    def undo() -> None:
+        for method in form.methods:
+            delattr(machine, method)
+
+    return undo
+
+
+class Streams:
+    """The replay of all of them: a machine is made of its state, and must then answer as it did."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, tuple[Form, Any]] = {}
+        self.forms = {form.kind: form for form in FORMS.values()}
+
+    def play(self, data: bytes) -> str:
+        """One note; in words what differs, or nothing. Raises CodecError."""
+        try:
+            name, kind, method, args, result = msgspec.msgpack.decode(data)
+            form = self.forms[kind]
+            if method == STATE:
+                self.machines[name] = form, form.load(args[0])
+                return ""
+            if method not in form.methods:
+                raise CodecError(f"no note: {kind} has no {method}")
+            if name not in self.machines:
+                return ""  # what follows a gap without a state can't be judged
+            machine = self.machines[name][1]
+            got = form.plain(getattr(machine, method)(*(form.back(machine, method, arg) for arg in args)))
+        except (msgspec.MsgspecError, ValueError, TypeError, LookupError, AttributeError) as error:
+            raise CodecError(f"no note: {type(error).__name__}: {error}") from None
+        if got != result:
+            return f"{name}: {method}({', '.join(map(str, args))}) gives {got!r} now, {result!r} then"
+        return ""
--- /dev/null
+++ b/badgercart/capture/whatif.py
@@ -0,0 +1,194 @@
+"""The captured night with another policy, and under other names. No I/O.
+
+A capture holds what came of the decisions that were taken then. Where others are taken now, the night is
+carried on by stated assumptions (`Night`): a request that is sent elsewhere ends there as it did then, as
+soon and with the same result; one that was turned away then and is sent now is served after the usual time
+of its class; one that is turned away now has no attempts. So what is told of a whole night is an estimate;
+what is told of one decision is exact up to the first that differs.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from badgercart.capture.codec import decode_actions
+from badgercart.capture.replay import Decided, decide
+from cottonhall.interface import (
+    Action,
+    Diverted,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Resume,
+    Send,
+    Timer,
+    Wake,
+    Withdrawn,
+)
+from cottonhall.rules import Policy
+
+FIRST = 10  # differences that are shown
+MAX_OPEN = 1 << 20  # requests under way that are followed; the oldest goes
+
+
+@dataclass(slots=True)
+class Fate:
+    """What one request met, then and now."""
+
+    cls: int
+    then: int = 0  # attempts then
+    sent: list[int] = field(default_factory=list)  # servers now, by attempt
+    over: bool = False
+
+
+Step = Callable[[float, Event, "list[Action] | None"], None]
+
+
+class Night:
+    """Feeds a policy with captured events, bent to the decisions that it takes itself."""
+
+    def __init__(self, policy: Policy, told: Step) -> None:
+        self.policy, self.told = policy, told
+        self.fates: dict[int, Fate] = {}
+        self.due: list[tuple[float, int, Event]] = []  # ends of attempts that there were none of then
+        self.numbers = itertools.count()
+        self.now = 0.0
+
+    def feed(self, item: Decided, then: dict[int, list[int]]) -> None:
+        """One captured event; `then`: what `sends` gives."""
+        self.catch_up(item.now)
+        event = item.event
+        if isinstance(event, Request):
+            while len(self.fates) >= MAX_OPEN:
+                del self.fates[next(iter(self.fates))]
+            self.fates[event.id] = Fate(event.cls, len(then.get(event.id, ())))
+            self.give(item.now, event)
+            return
+        fate = self.fates.get(getattr(event, "id", 0))
+        if isinstance(event, Outcome | Diverted) and fate is not None:
+            if event.attempt >= len(fate.sent):
+                return  # there was no such attempt now
+            event = replace(event, server=fate.sent[event.attempt])
+            if isinstance(event, Diverted):
+                fate.sent.append(event.to)
+        if isinstance(event, Timer):
+            fate = self.fates.get(event.token)
+        if isinstance(event, Resume | Withdrawn | Timer) and fate is not None and fate.over:
+            return
+        self.give(item.now, event)
+        if isinstance(event, Outcome) and event.over and fate is not None:
+            fate.over = True
+
+    def catch_up(self, now: float) -> None:
+        while self.due and self.due[0][0] <= now:
+            at, _, event = heapq.heappop(self.due)
+            self.give(max(at, self.now), event)
+        self.now = max(self.now, now)
+
+    def give(self, now: float, event: Event) -> None:
+        actions = decide(self.policy, now, event)
+        self.told(now, event, actions)
+        for action in actions or ():
+            if isinstance(action, Send) and (fate := self.fates.get(action.id)) is not None:
+                fate.sent.append(action.server)
+                if len(fate.sent) > fate.then:  # there was no such attempt then
+                    took = min(self.policy.usual[fate.cls], action.limit)
+                    end = Outcome(action.id, action.server, True, Result.OK, len(fate.sent) - 1, took)
+                    heapq.heappush(self.due, (now + took, next(self.numbers), end))
+            elif isinstance(action, Refuse | Fail) and (fate := self.fates.get(action.id)) is not None:
+                fate.over = True
+            elif isinstance(action, Wake) and action.token in self.fates:
+                # Held for its turn: then there may have been no timer that rings for it now.
+                ring = now + action.delay
+                heapq.heappush(self.due, (ring, next(self.numbers), Timer(action.token)))
+
+
+def sends(items: Iterable[Decided]) -> dict[int, list[int]]:
+    """The servers of each request's attempts then: by the actions, or in format 1 by the outcomes."""
+    found: dict[int, list[int]] = {}
+    for item in items:
+        event = item.event
+        if item.then:
+            for action in decode_actions(item.then) or ():
+                if isinstance(action, Send):
+                    found.setdefault(action.id, []).append(action.server)
+            if isinstance(event, Diverted):
+                found.setdefault(event.id, []).append(event.to)
+        elif isinstance(event, Outcome | Diverted):
+            found.setdefault(event.id, []).append(event.server)
+    return found
+
+
+@dataclass(slots=True)
+class Change:
+    """What another policy changes, over all that was played."""
+
+    events: int = 0
+    differing: int = 0  # requests that are turned away instead of sent, or the other way, or sent elsewhere
+    elsewhere: int = 0
+    refused_now: Counter[int] = field(default_factory=Counter)  # by class
+    sent_now: Counter[int] = field(default_factory=Counter)
+    gained: float = 0.0  # worth of those sent now and turned away then
+    lost: float = 0.0
+    first: list[str] = field(default_factory=list)
+
+
+def what_if(policy: Policy, items: Iterable[Decided], change: Change) -> None:
+    """Play a segment with a policy of another text, and add what changes."""
+    worths = [cls.worth for cls in policy.settings.classes]
+    known = list(items)
+    then = sends(known)
+
+    def told(now: float, event: Event, actions: list[Action] | None) -> None:
+        if not isinstance(event, Request):
+            return
+        place = next((a.server for a in actions or () if isinstance(a, Send) and a.id == event.id), 0)
+        held = any(isinstance(a, Wake) and a.token == event.id for a in actions or ())
+        before = then.get(event.id, [0])[0]
+        if place == before or held:
+            return
+        change.differing += 1
+        worth = worths[event.cls]
+        if place and before:
+            change.elsewhere += 1
+            words = f"sent to {place:x}, then to {before:x}"
+        elif place:
+            change.sent_now[event.cls] += 1
+            change.gained += worth
+            words = f"sent to {place:x}, then turned away"
+        else:
+            change.refused_now[event.cls] += 1
+            change.lost += worth
+            words = f"turned away, then sent to {before:x}"
+        if len(change.first) < FIRST:
+            change.first.append(f"{now:.3f} ms  request {event.id}, class {event.cls}: {words}")
+
+    night = Night(policy, told)
+    for item in known:
+        change.events += 1
+        night.feed(item, then)
+    night.catch_up(float("inf"))
+
+
+def plain(event: Event, names: Callable[[str, int], int]) -> Event:
+    """An event under other names: `names(kind, number)` gives the new number of a key, server or tenant."""
+    changes: dict[str, Any] = {}
+    if isinstance(event, Request):
+        changes = {"key": names("key", event.key), "tenant": names("tenant", event.tenant)}
+        if event.among is not None:
+            changes["among"] = frozenset(names("server", i) for i in event.among)
+    elif isinstance(event, Outcome | Diverted):
+        changes = {"server": names("server", event.server)}
+        if isinstance(event, Diverted):
+            changes["to"] = names("server", event.to)
+    elif hasattr(event, "servers"):
+        changes = {"servers": [replace(line, id=names("server", line.id)) for line in event.servers]}
+    return replace(event, **changes)
--- a/badgercart/capture/writer.py
+++ b/badgercart/capture/writer.py
@@ -4,28 +4,31 @@
 
 import threading
 import time
-import zlib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from badgercart.capture.build import BATCH
 from badgercart.capture.codec import (
-    encode_actions,
-    encode_event,
+    Told,
+    encode_batch,
     encode_settings,
     freeze,
     module_digest,
+    plain_actions,
+    plain_event,
 )
-from badgercart.capture.format import INDEX_EVERY, VERSION, Kind, event_record, head, record
+from badgercart.capture.format import VERSION, Index, Kind, end_record, head, record
 from badgercart.capture.replay import SUFFIX
 from badgercart.capture.settings import CaptureSettings
-from cottonhall.interface import Action, Event
+from cottonhall.interface import Action, Event, Request
 from cottonhall.rules import Policy
 
 PATIENCE = 2.0  # s for what is written at the end of the process
-NOTHING = encode_actions([])
+MARK_EVERY = 4096  # events between marks of the index
+STATES = 4  # a segment is at least so many times its head: states must not crowd out events
 CHUNK = 1 << 15  # bytes that gather before the thread is woken
 Chunk = tuple[str, bytes]  # the segment it belongs to, and its bytes
 
@@ -123,20 +126,23 @@
         self.disk = Disk(folder, settings)
         self.session = f"{int(time.time() * 1000):013d}"  # sorts by the node's starts
         self.number = -1  # of the segment
-        self.running = 0  # crc32 of all decisions since the segment began
         self.size = self.records = self.head = 0  # of the segment: bytes, events, bytes of its head
         self.before = 0  # events in earlier segments
-        self.lost = 0  # events since the buffer ran over
-        self.index: list[tuple[int, float, int]] = []
+        self.lost = self.told_lost = 0  # events since the buffer ran over; of the segment
+        self.low = self.high = 0  # numbers of requests in the segment
+        self.first = self.last = 0.0  # times of its events
+        self.marks: list[tuple[int, float, int]] = []
+        self.pending: list[Told] = []
         self.chunk = min(CHUNK, settings.buffer_bytes // 4, settings.segment_bytes)
         self.out: list[bytes] = []
         self.out_size = 0
+        self.snapshots: list[Callable[[], bytes]] = []  # of other machines, at the head of each segment
         self.begin(freeze(policy))
 
     @property
     def total(self) -> int:
         """Events captured so far."""
-        return self.before + self.records
+        return self.before + self.records + len(self.pending)
 
     @property
     def segment(self) -> str:
@@ -146,20 +152,28 @@
         """A new segment, with the policy's state."""
         self.number += 1
         self.before += self.records
-        self.running = self.records = self.size = 0
-        self.index = []
+        self.records = self.size = self.told_lost = 0
+        self.first = self.last = 0.0
+        self.low = min(self.under_way(), default=self.high + 1)
+        self.marks = []
         fields = self.fixed | {
             "format": VERSION,
             "segment": self.number,
             "events_before": self.before,
             "wall_ms": time.time() * 1000,
-            "running": 0,
             "state": state,
         }
         data = head(fields)
         self.head = len(data)
         self.bound = self.settings.buffer_bytes + len(data)  # a state is no sign of a slow disk
         self.add(data)
+        for snapshot in self.snapshots:
+            self.add(record(Kind.NOTE, snapshot()))
+
+    def under_way(self) -> set[int]:
+        """The requests that events may still come about."""
+        out = {number for server in self.policy.servers.values() for number, _ in server.open}
+        return out | self.policy.jobs.keys()
 
     def add(self, data: bytes) -> None:
         self.out.append(data)
@@ -168,6 +182,11 @@
 
     def flush(self) -> None:
         """Hand over what has gathered, as often as the loop has a moment."""
+        if self.pending:
+            self.encode()
+        self.hand_over()
+
+    def hand_over(self) -> None:
         if self.out:
             self.disk.put(self.segment, b"".join(self.out))
             self.out, self.out_size = [], 0
@@ -175,56 +194,79 @@
     def tap(self, now: float, event: Event, actions: list[Action] | None) -> None:
         """After the policy has decided, and before anything of it is done. It never raises."""
         try:
-            self.take(now, event, actions)
+            # This runs for every event: fields are taken now, all else once a batch.
+            if type(event) is Request:
+                self.high = event.id
+            self.pending.append((*plain_event(now, event), plain_actions(actions)))
+            if len(self.pending) >= BATCH:
+                self.encode()
         except Exception as error:  # a fault of ours must not cost a request
             self.on_failure(OSError(f"{type(error).__name__}: {error}"))
 
-    def take(self, now: float, event: Event, actions: list[Action] | None) -> None:
+    def note(self, data: bytes) -> None:
+        """What another deciding machine was told, between the policy's events, in their order."""
+        try:
+            if self.pending:
+                self.encode()
+            if self.lost:
+                self.lost += 1
+            else:
+                self.add(record(Kind.NOTE, data))
+        except Exception as error:  # as for the policy's events
+            self.on_failure(OSError(f"{type(error).__name__}: {error}"))
+
+    def encode(self) -> None:
+        """Turn a batch into bytes, or count it as lost; begin a new segment where this one is long enough."""
         if self.disk.failed is not None:
             failed, self.disk.failed = self.disk.failed, None
+            self.pending.clear()
             self.on_failure(failed)
             return
+        batch, self.pending = self.pending, []
         if self.lost or self.out_size + self.disk.waiting > self.bound:
-            self.lost += 1
+            self.lost += len(batch)
             if self.disk.waiting + self.out_size < self.bound // 2:
                 self.resume()
             return
-        # What follows runs for every event: it is written out, and looked over once a chunk.
-        self.running = zlib.crc32(
-            encode_actions(actions) if actions or actions is None else NOTHING, self.running
-        )
-        if self.records % INDEX_EVERY == 0:
-            self.index.append((self.records, now, self.size))
-        data = event_record(self.running, encode_event(now, event))
-        self.out.append(data)
-        self.out_size += len(data)
-        self.size += len(data)
-        self.records += 1
+        if self.records // MARK_EVERY != (self.records - BATCH) // MARK_EVERY:
+            self.marks.append((self.records, batch[0][1], self.size))
+        if not self.records:
+            self.first = batch[0][1]
+        self.last = batch[-1][1]
+        self.add(record(Kind.BATCH, encode_batch(batch)))
+        self.records += len(batch)
         if self.out_size >= self.chunk:
-            self.flush()
-            if self.size - self.head >= self.settings.segment_bytes:
-                self.roll()
+            self.hand_over()
+        if self.size - self.head >= max(self.settings.segment_bytes, STATES * self.head):
+            self.roll()
 
     def resume(self) -> None:
         """Behind a gap: say how many are missing, and begin anew from the state there."""
-        lost, self.lost = self.lost, 0
-        self.add(record(Kind.GAP, lost.to_bytes(8)))
-        self.on_gap(lost)
+        self.tell_gap()
         self.roll()
 
+    def tell_gap(self) -> None:
+        self.told_lost, self.lost = self.lost, 0
+        self.add(record(Kind.GAP, self.told_lost.to_bytes(8)))
+        self.on_gap(self.told_lost)
+
     def roll(self) -> None:
         self.end()
         self.begin(freeze(self.policy))
 
     def end(self) -> None:
         """Close the segment: the index, and that it is whole."""
-        self.add(record(Kind.INDEX, msgspec.msgpack.encode(self.index)))
-        self.add(record(Kind.END, b""))
-        self.flush()
+        at, high = self.size, max(self.high, self.low)
+        low = self.low if self.records else 0
+        index = Index(self.records, self.told_lost, self.first, self.last, low, high, self.marks)
+        self.add(record(Kind.INDEX, msgspec.msgpack.encode(index)))
+        self.add(end_record(at))
+        self.hand_over()
 
     def close(self) -> None:
+        if self.pending:
+            self.encode()
         if self.lost:
-            self.add(record(Kind.GAP, self.lost.to_bytes(8)))
-            self.on_gap(self.lost)
+            self.tell_gap()
         self.end()
         self.disk.close()
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -36,6 +36,8 @@
     drain_grace: float = 500.0  # ms after which nothing new goes to a draining server
     default_tenant: bytes | None = None  # whom requests without a tenant count for; None: they are bad
 
+    key_secret: bytes = b""  # by which requests' keys are hashed; the same at all nodes
+
     def tenant(self, name: bytes | None) -> int | None:
         """The number of a tenant; None where there is none of this name, 0 where there are no tenants."""
         return self.tenants.get(name or self.default_tenant or b"") if self.tenants else 0
--- a/badgercart/core/requests.py
+++ b/badgercart/core/requests.py
@@ -43,7 +43,7 @@
 
     def __init__(self, config: Config) -> None:
         self.classes = config.classes
-        self.tenant = config.tenant
+        self.tenant, self.secret = config.tenant, config.key_secret
         self.effects = [cls.effect for cls in config.settings.classes]
 
     def read(
@@ -69,5 +69,5 @@
             raise BadDescription(400, "the class is keyed: it wants an Idempotency-Key")
         if effect is Effect.UNSAFE and key is not None:  # a repeat could not be told by it
             raise BadDescription(400, "the class is not keyed: it takes no Idempotency-Key")
-        place = stable_id(parts[-1]) if len(parts) > 2 and parts[-1] else 0
+        place = stable_id(parts[-1], self.secret) if len(parts) > 2 and parts[-1] else 0
         return Found(name, cls, number, place)
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -231,7 +231,7 @@
                 message=self.message(plan, number, request),
                 cls=self.classes[part.cls],
                 tenant=request.tenant,
-                key=stable_id(part.affinity.encode()) if part.affinity else 0,
+                key=stable_id(part.affinity.encode(), self.config.key_secret) if part.affinity else 0,
                 due=due,
                 name=b"%b.%d" % (request.name, number),
             )
--- a/badgercart/fronts/processor/part.py
+++ b/badgercart/fronts/processor/part.py
@@ -20,6 +20,7 @@
         from badgercart.fronts.processor.server import Processor  # heavy: only where it is switched on
 
         self.front: Processor = Processor(host.config, settings, host.join, host.roster, host.loop)
+        host.machines["processor.account"] = self.front.calls.account
 
         front, meters = self.front, host.meters
         meters.gauge("badgercart_processor_streams", "Streams that are open.", lambda: len(front.connections))
--- a/badgercart/membership/etcd/part.py
+++ b/badgercart/membership/etcd/part.py
@@ -36,6 +36,7 @@
             host.join.clock,
             random.Random(host.config.seed),
         )
+        host.machines["etcd.freshness"] = self.source.freshness
         host.list_state = lambda: self.source.state.value
         host.meters.gauge(
             "badgercart_list_age_seconds",
--- a/badgercart/operator/base.py
+++ b/badgercart/operator/base.py
@@ -26,6 +26,13 @@
     sockets: int = Field(1024, ge=64, le=1_000_000, description="descriptors that the process may hold")
     number: int = Field(0, ge=0, le=65535, description="its number among the nodes, from 0")
     nodes: int = Field(1, ge=1, le=65536, description="how many nodes share the fleet")
+    key_secret: Name | None = Field(
+        None,
+        min_length=16,
+        max_length=64,
+        description="a secret by which requests' keys are hashed, the same at all nodes: "
+        "then no key can be found in a capture by guessing",
+    )
     default_tenant: Name | None = Field(
         None, description="the tenant that requests without the header count for; none: they are turned away"
     )
@@ -184,5 +191,6 @@
         dial_timeout=fleet.dial_timeout_ms,
         idle_timeout=fleet.idle_ms,
         drain_grace=fleet.drain_grace_ms,
+        key_secret=node.key_secret.encode()[:64] if node.key_secret else b"",
         default_tenant=node.default_tenant.encode() if node.default_tenant else None,
     )
--- a/badgercart/operator/part.py
+++ b/badgercart/operator/part.py
@@ -65,6 +65,7 @@
     share: float  # of the descriptors, for each part that holds sockets
     pages: dict[bytes, Page] = field(default_factory=dict)  # for operators, by path
     meters: Meters = field(default_factory=Meters)  # figures for operators
+    machines: dict[str, object] = field(default_factory=dict)  # that decide beside the policy, by name
     list_state: Callable[[], str] = lambda: "of no known age"
 
 
--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -1,8 +1,9 @@
 """What a capture costs, and how quickly it is replayed: `python -m benchmarks.capture`.
 
 One run plays the same requests through a join and its policy with the capture on and off, in turn, and prints
-the processor time of both, the writer's thread included; bytes an event and a request; and the replay's speed
-beside the time that was captured. The share of a whole request is against the processor time that the HTTP
+the processor time of both, the writer's thread included; bytes an event and a request; the replay's speed
+beside the time that was captured; and how long `capture explain` takes, as a whole process, for a request in
+the middle of `--records` events. The share of a whole request is against the processor time that the HTTP
 front takes for one (`--front`, in µs, as `benchmarks.operator` gives it).
 """
 
@@ -11,6 +12,7 @@
 import argparse
 import asyncio
 import statistics
+import subprocess
 import sys
 import tempfile
 import time
@@ -85,15 +87,39 @@
             if (order := self.order) is not None:
                 answer = Answer(200)
                 self.join.ended(order.request_id, order.number, order.server_id, Result.OK, TOOK, answer)
+            if self.capture is not None and self.capture.disk.waiting > 1 << 21:
+                time.sleep(0.05)  # no node sends so many requests: the writer keeps up
         if self.capture is not None:
             self.capture.close()
         return time.process_time() - begun
 
 
+def explain(records: int) -> None:
+    """A request in the middle of a long capture."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        load = Load(folder)
+        load.play(records // 2)
+        size = sum(path.stat().st_size for path in segments([name]))
+        command = [sys.executable, "-m", "badgercart", "capture", "explain", name, str(records // 4)]
+        begun = time.perf_counter()
+        done = subprocess.run(command, capture_output=True, text=True)
+        spent = time.perf_counter() - begun
+        begun = time.perf_counter()
+        subprocess.run([sys.executable, "-m", "badgercart", "capture", "--help"], capture_output=True)
+        bare = time.perf_counter() - begun
+    if done.returncode or "send to" not in done.stdout:
+        raise RuntimeError(f"explain failed: {done.stdout}{done.stderr}")
+    print(
+        f"explain in {records} events ({size >> 20} MiB): {spent:.2f} s, of which {bare:.2f} s is the start"
+    )
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m benchmarks.capture", description=__doc__)
     parser.add_argument("--requests", type=int, default=10_000, help="of each play (10,000)")
     parser.add_argument("--rounds", type=int, default=5, help="plays of each way, in turn (5)")
+    parser.add_argument("--records", type=int, default=1_000_000, help="events for explain (1,000,000)")
     parser.add_argument("--front", type=float, default=200.0, help="µs of a core for a whole request (200)")
     chosen = parser.parse_args()
     off, on = [], []
@@ -119,6 +145,8 @@
     print(f"{size / events:.1f} bytes an event, {size / chosen.requests:.1f} a request")
     times = chosen.requests * GAP / 1000 / spent
     print(f"replay: {events / spent:.0f} events a second, {times:.0f} times real time")
+    if chosen.records:
+        explain(chosen.records)
     return 0
 
 
