--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -87,8 +87,8 @@
             if (order := self.order) is not None:
                 answer = Answer(200)
                 self.join.ended(order.request_id, order.number, order.server_id, Result.OK, TOOK, answer)
-            if self.capture is not None and self.capture.disk.waiting > 1 << 21:
-                time.sleep(0.05)  # no node sends so many requests: the writer keeps up
+            while self.capture is not None and self.capture.disk.waiting > 1 << 20:
+                time.sleep(0.01)  # no node sends so many requests: the writer keeps up
         if self.capture is not None:
             self.capture.close()
         return time.process_time() - begun
--- /dev/null
+++ b/lab/troubles.py
@@ -0,0 +1,160 @@
+"""What happens in a day besides requests: each kind of trouble begins, and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from cottonhall.interface import ListKind
+from lab.chance import generator
+from lab.servers import Server
+from lab.settings import Trouble
+
+if TYPE_CHECKING:
+    from lab.model import World
+
+FLAP = 700.0  # ms between turns of a flapping line
+
+Step = Callable[["Troubles", Trouble, list[Server]], None]
+
+
+class Troubles:
+    """Sets every trouble of a day off, and ends it."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.clock = world, world.clock
+
+    def schedule(self) -> None:
+        """Who is befallen is drawn by the seed and the trouble's place, the same for every policy."""
+        day = self.world.day
+        for number, trouble in enumerate(day.trouble):
+            if trouble.kind in ("surge", "hot_key"):
+                continue  # they are in the plan of requests
+            rng = generator(self.world.cell.seed, "trouble", number)
+            count = max(1, round(trouble.share * len(self.world.servers))) if trouble.share else 0
+            chosen = sorted(rng.choice(len(self.world.servers), count, replace=False).tolist())
+            servers = [self.world.servers[at] for at in chosen]
+            begin, end = STEPS[trouble.kind]
+            self.clock.at(trouble.at_s * 1000, begin, self, trouble, servers)
+            self.clock.at((trouble.at_s + trouble.for_s) * 1000, end, self, trouble, servers)
+
+    # Servers.
+
+    def slow(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.slowness *= trouble.size
+
+    def slow_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.slowness /= trouble.size
+
+    def silent(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.silent = trouble.chance
+
+    def silent_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.silent = 0.0
+
+    def errors(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.failing = trouble.chance
+
+    def errors_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.failing = 0.0
+
+    def crash(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.crash()
+        self.world.changed(servers, self.world.day.lists.crash_notice_ms)
+
+    def come_back(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.start()
+        self.world.changed(servers, self.world.day.lists.notice_ms)
+
+    def restart(self, trouble: Trouble, servers: list[Server]) -> None:
+        """As a deployment does it: first they leave, then they stop, then they come back cold."""
+        self.drain(trouble, servers)
+        stop = self.world.day.lists.notice_ms + self.world.day.node.drain_grace_ms + 3000.0
+        self.clock.after(min(stop, trouble.for_s * 500), self.stop, servers)
+
+    def stop(self, servers: list[Server]) -> None:
+        for server in servers:
+            server.crash()
+        self.world.changed(servers, self.world.day.lists.notice_ms)
+
+    def drain(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.leaving = True
+        self.world.changed(servers, self.world.day.lists.notice_ms)
+
+    def drain_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        for server in servers:
+            server.leaving = False
+        self.world.changed(servers, self.world.day.lists.notice_ms)
+
+    # Lists.
+
+    def list_loss(self, trouble: Trouble, servers: list[Server]) -> None:
+        """A whole list comes that does not have them, though they are well."""
+        without = frozenset(server.number for server in servers)
+        for node in self.world.nodes:
+            node.tell(ListKind.FULL, self.world.servers, without)
+            for server in servers:
+                node.told_leaving.setdefault(server.number, self.clock.now)
+
+    def list_whole(self, trouble: Trouble, servers: list[Server]) -> None:
+        for node in self.world.nodes:
+            node.tell(ListKind.FULL, self.world.servers)
+
+    def flap(self, trouble: Trouble, servers: list[Server]) -> None:
+        end = self.clock.now + trouble.for_s * 1000 - 2 * FLAP
+        self.turn(servers, end, True)
+
+    def turn(self, servers: list[Server], end: float, leaving: bool) -> None:
+        for server in servers:
+            server.leaving = leaving
+        for node in self.world.nodes:
+            node.tell(ListKind.DELTA, servers)
+        if self.clock.now < end:
+            self.clock.after(FLAP, self.turn, servers, end, not leaving)
+
+    def flap_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.turn(servers, 0.0, False)
+
+    # The network and the nodes.
+
+    def partition(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.net.cut.add(trouble.zone)
+
+    def partition_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.net.cut.discard(trouble.zone)
+
+    def loss(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.net.loss = min(trouble.chance, 0.9)
+
+    def loss_end(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.net.loss = self.world.day.net.loss
+
+    def node_restart(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.nodes[0].stop()
+
+    def node_back(self, trouble: Trouble, servers: list[Server]) -> None:
+        self.world.nodes[0].start()
+
+
+STEPS: dict[str, tuple[Step, Step]] = {
+    "slow": (Troubles.slow, Troubles.slow_end),
+    "silent": (Troubles.silent, Troubles.silent_end),
+    "errors": (Troubles.errors, Troubles.errors_end),
+    "crash": (Troubles.crash, Troubles.come_back),
+    "restart": (Troubles.restart, Troubles.come_back),
+    "drain": (Troubles.drain, Troubles.drain_end),
+    "list_loss": (Troubles.list_loss, Troubles.list_whole),
+    "flap": (Troubles.flap, Troubles.flap_end),
+    "partition": (Troubles.partition, Troubles.partition_end),
+    "loss": (Troubles.loss, Troubles.loss_end),
+    "node_restart": (Troubles.node_restart, Troubles.node_back),
+}
--- /dev/null
+++ b/lab/wire.py
@@ -0,0 +1,160 @@
+"""The way between one node and the servers: connections, delays, loss, cuts; the carrier of the node's
+join."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from badgercart.core.join import Join
+from badgercart.core.ports import Answer, Order
+from cottonhall.interface import Probe, ProbeResult, Result
+from lab.chance import Stream
+from lab.clock import Clock
+from lab.servers import Server, Work
+from lab.settings import Day
+
+ANSWER = Answer(200)
+MAX_IDLE = 64  # idle connections kept from a node to a server
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt that is out."""
+
+    order: Order
+    server: Server
+    sent: float
+    tried: int  # the client's try, from 1
+    work: Work | None = None
+    ended: bool = False
+
+
+class Net:
+    """What all ways have in common, and which zones are cut off from the others now."""
+
+    def __init__(self, clock: Clock, day: Day, factors: Stream, chance: Stream) -> None:
+        self.clock, self.day, self.factors, self.chance = clock, day, factors, chance
+        self.cut: set[int] = set()
+        self.loss = day.net.loss
+
+    def parted(self, one: int, other: int) -> bool:
+        return one != other and (one in self.cut or other in self.cut)
+
+    def way(self, one: int, other: int) -> float:
+        """ms of one message between two zones."""
+        net = self.day.net
+        took = (net.same_ms if one == other else net.cross_ms) * self.factors()
+        while self.loss and self.chance() < self.loss:
+            took += net.resend_ms
+        return took
+
+
+class Wire:
+    """The carrier of one node. It has a connection for each attempt that is out, and keeps idle ones."""
+
+    def __init__(self, net: Net, zone: int, servers: dict[int, Server]) -> None:
+        self.net, self.clock, self.zone, self.servers = net, net.clock, zone, servers
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.idle: dict[int, list[float]] = {}  # by server: since when
+        self.sent: Callable[[Server, Order], None] = lambda server, order: None
+        self.dials = 0
+
+    def join(self, join: Join) -> None:
+        self.told = join
+        join.perform[Probe] = self.probe
+
+    def close(self) -> None:
+        """The node has died: nothing comes back to it."""
+        for attempt in self.out.values():
+            attempt.ended = True
+        self.out.clear()
+
+    # The join's port.
+
+    def send(self, order: Order) -> None:
+        server = self.servers[order.server_id]
+        attempt = Attempt(order, server, self.clock.now, order.work.tries)
+        self.out[order.request_id, order.number] = attempt
+        self.sent(server, order)
+        self.clock.after(max(order.limit, 0.0), self.end, attempt, Result.TIMEOUT)
+        ready = self.connected(server)
+        if self.net.parted(self.zone, server.zone):
+            if not ready:
+                self.clock.after(self.net.day.net.dial_ms, self.end, attempt, Result.UNREACHABLE)
+            return
+        way = self.net.way(self.zone, server.zone)
+        if not ready:
+            if server.down:
+                self.clock.after(2 * way, self.end, attempt, Result.UNREACHABLE)
+                return
+            self.dials += 1
+            way += self.net.day.net.handshake_ms + 2 * way
+        self.clock.after(way, self.arrive, attempt)
+
+    def connected(self, server: Server) -> bool:
+        """Take an idle connection, where there is one."""
+        idle, old = self.idle.get(server.number), self.clock.now - self.net.day.net.idle_ms
+        while idle:
+            if idle.pop() > old:
+                return True
+            idle.clear()  # those below are older still
+        return False
+
+    def arrive(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if attempt.ended and server.day.fleet.drops_abandoned:
+            return
+        asked = attempt.order.work
+        attempt.work = Work(
+            asked.number, attempt.tried, asked.cls, asked.key, asked.work, asked.keyed, asked.window,
+            partial(self.answer, attempt),
+        )  # fmt: skip
+        server.take(attempt.work)
+
+    def answer(self, attempt: Attempt, result: Result) -> None:
+        if not self.net.parted(self.zone, attempt.server.zone):
+            self.clock.after(self.net.way(self.zone, attempt.server.zone), self.end, attempt, result)
+
+    def end(self, attempt: Attempt, result: Result) -> None:
+        if attempt.ended:
+            return
+        attempt.ended = True
+        order = attempt.order
+        self.out.pop((order.request_id, order.number), None)
+        if result in (Result.OK, Result.ERROR, Result.FULL):
+            idle = self.idle.setdefault(attempt.server.number, [])
+            if len(idle) < MAX_IDLE:
+                idle.append(self.clock.now)
+        elif result is Result.TIMEOUT and attempt.work is not None:
+            attempt.work.abandoned = True
+        took = self.clock.now - attempt.sent
+        answer = ANSWER if result is Result.OK else None
+        self.told.ended(order.request_id, order.number, order.server_id, result, took, answer)
+
+    def cancel(self, request_id: int, number: int) -> None:
+        if (attempt := self.out.get((request_id, number))) is not None:
+            if attempt.work is not None:
+                attempt.work.abandoned = True
+            self.end(attempt, Result.CANCELLED)
+
+    # Probes, for peers that ask for them.
+
+    def probe(self, action: Probe) -> None:
+        server = self.servers[action.server]
+        if server.down or self.net.parted(self.zone, server.zone):
+            return  # one that is not answered tells nothing
+        sent = self.clock.now
+        self.clock.after(self.net.way(self.zone, server.zone), self.probed, server, action.server, sent)
+
+    def probed(self, server: Server, server_id: int, sent: float) -> None:
+        if server.down or (server.silent and server.chance() < server.silent):
+            return
+        way = self.net.way(self.zone, server.zone)
+        self.clock.after(way, self.tell_probe, server_id, sent, (float(server.held), server.expected))
+
+    def tell_probe(self, server_id: int, sent: float, report: tuple[float, ...]) -> None:
+        event: Any = ProbeResult(server_id, Result.OK, self.clock.now - sent, report)
+        self.told.tell(event)
--- /dev/null
+++ b/tests/lab/test_experiments.py
@@ -0,0 +1,233 @@
+"""Experiment files are checked by line; a sweep survives what kills its workers; figures say what they
+should."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from badgercart.operator.faults import FileError
+from lab.__main__ import main
+from lab.measure import Measure
+from lab.peers import NAMES, make
+from lab.peers.limits import Aimd, Gradient, RetryBudget
+from lab.peers.pickers import WeightedLeastRequest
+from lab.settings import Cell, cells, load
+from lab.stats import Interval, interval, paired, verdict
+from lab.sweep import SweepError, name_of, read, sweep
+from tests.lab.support import day
+
+GOOD = """[experiment]
+name = "small"
+seconds = 2
+seeds = [1, 2]
+policies = ["badgercart", "p2c"]
+[[class]]
+name = "find"
+[grid]
+"arrivals.load" = [0.3, 0.6]
+"""
+
+
+def written(folder: Path, text: str = GOOD) -> str:
+    path = folder / "day.toml"
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.mark.parametrize(
+    ("change", "line", "words"),
+    [
+        (("seconds = 2", "secconds = 2"), 3, "secconds: is not known here; known are"),
+        (("seconds = 2", "seconds = 0.5"), 3, "is not within 1 to 86400"),
+        (('"p2c"', '"p3c"'), 5, "'p3c' is none of badgercart, random"),
+        (("[[class]]", "[fleet]\nserver = 3\n[[class]]"), 7, "server: is not known here"),
+        (('"arrivals.load"', '"arrivals.lode"'), 9, "there is no setting 'arrivals.lode'"),
+        (("[0.3, 0.6]", "[0.3, -1]"), 9, "greater than 0"),
+        (("[0.3, 0.6]", "0.3"), 9, "takes a list of values"),
+        (('name = "find"', 'name = "find"\naim_ms = 9000'), 8, "is longer than deadline_ms"),
+        (("[grid]", '[[trouble]]\nkind = "slow"\nat_s = 9\n[grid]'), 10, "is after the day's end"),
+        (("[grid]", '[[trouble]]\nkind = "slaw"\nat_s = 1\n[grid]'), 9, "'slaw' is none of slow, silent"),
+        (('name = "find"', 'dist = "pareto"'), 6, "name is missing"),
+    ],
+)
+def test_a_wrong_file_is_told_by_line(
+    tmp_path: Path, change: tuple[str, str], line: int, words: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = written(tmp_path, GOOD.replace(*change))
+    with pytest.raises(FileError) as caught:
+        load(path, NAMES)
+    assert words in str(caught.value) and f"line {line}" in str(caught.value), str(caught.value)
+    assert main(["sweep", path]) == 2 and words in capsys.readouterr().err
+
+
+def test_a_grid_gives_every_day_once_in_a_stated_order(tmp_path: Path) -> None:
+    found = list(cells(load(written(tmp_path), NAMES)))
+    assert [cell.name for cell in found] == [
+        f"{policy} arrivals.load={value} seed={seed}"
+        for value in (0.3, 0.6) for policy in ("badgercart", "p2c") for seed in (1, 2)
+    ]  # fmt: skip
+    assert len({name_of(cell) for cell in found}) == 8
+
+
+def _kill_once(cell: Cell, folder: str) -> str:
+    """A worker that dies at its first day of seed 2, and fails for good with policy p2c at load 0.6."""
+    from lab.sweep import _one
+
+    mark = Path(folder) / "killed"
+    if cell.seed == 2 and not mark.exists():
+        mark.write_text("")
+        os.kill(os.getpid(), signal.SIGKILL)
+    if cell.policy == "p2c" and cell.values[0][1] == 0.6:
+        raise RuntimeError("as the test wants")
+    return _one(cell, folder)
+
+
+def _kill_always(cell: Cell, folder: str) -> str:
+    from lab.sweep import _one
+
+    if cell.seed == 2 and cell.policy == "p2c":
+        os.kill(os.getpid(), signal.SIGKILL)
+    return _one(cell, folder)
+
+
+def test_a_sweep_goes_on_when_a_worker_is_killed_and_names_what_failed(tmp_path: Path) -> None:
+    wanted = list(cells(load(written(tmp_path), NAMES)))
+    folder = tmp_path / "results"
+    with pytest.raises(SweepError) as caught:
+        list(sweep(wanted, folder, 2, task=_kill_once))
+    lines = str(caught.value).splitlines()
+    assert len(lines) == 2 and all("p2c arrivals.load=0.6 seed=" in line and "as the test wants" in line
+                                   for line in lines)  # fmt: skip
+    there = [path for path in folder.glob("*.json") if read(path) is not None]
+    assert len(there) == 6 and not list(folder.glob(".*"))
+    times = {path: path.stat().st_mtime_ns for path in there}
+    days = list(sweep(wanted, folder, 2))
+    assert [cell.name for cell, _ in days] == [cell.name for cell in wanted]
+    assert all(path.stat().st_mtime_ns == before for path, before in times.items())  # not played again
+
+
+def test_a_day_that_always_kills_its_worker_fails_alone(tmp_path: Path) -> None:
+    wanted = list(cells(load(written(tmp_path), NAMES)))
+    with pytest.raises(SweepError) as caught:
+        list(sweep(wanted, tmp_path / "r", 2, task=_kill_always))
+    assert [line.split(": ")[1] for line in str(caught.value).splitlines()] == ["its process was killed"] * 2
+    assert len(list((tmp_path / "r").glob("*.json"))) == 6
+
+
+def test_a_file_that_is_no_day_is_played_anew(tmp_path: Path) -> None:
+    cell = next(cells(load(written(tmp_path), NAMES)))
+    for text in ("", "{", "[1]", "{}"):
+        (tmp_path / name_of(cell)).write_text(text)
+        assert read(tmp_path / name_of(cell)) is None
+    ((_, result),) = sweep([cell], tmp_path, 1)
+    assert result["requests"] > 50
+
+
+def test_commands_end_to_end(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = written(tmp_path)
+    assert main(["run", path, "--json"]) == 0
+    assert json.loads(capsys.readouterr().out)["policy"] == "badgercart"
+    assert main(["sweep", path, "--markdown"]) == 0
+    table = capsys.readouterr().out.splitlines()
+    assert len(table) == 6 and table[2].startswith("| badgercart arrivals.load=0.3 |")
+    assert main(["compare", path, "p2c", "badgercart"]) == 0
+    assert "arrivals.load=0.6" in capsys.readouterr().out
+    assert main(["compare", path, "p2c", "random"]) == 2
+    out = tmp_path / "page.html"
+    assert main(["report", path, "-o", str(out)]) == 0
+    text = out.read_text()
+    assert text.count("<svg") >= 4 and "http://www.w3.org" in text and "<script" not in text
+    assert 'src="' not in text and (tmp_path / "page-heat.png").read_bytes()[:4] == b"\x89PNG"
+    assert main(["run", path, "--policy", "none"]) == 2 and main(["load", path]) == 2
+    assert main(["load", path, "--record"]) == 1 and "uniform law" in capsys.readouterr().err
+
+
+# Figures.
+
+
+@settings(max_examples=30, deadline=None)
+@given(st.lists(st.floats(0, 1), min_size=3, max_size=12), st.floats(0.01, 0.5))
+def test_paired_differences_see_what_is_the_same_on_all_seeds(values: list[float], more: float) -> None:
+    difference = paired([v + more for v in values], values)
+    assert difference.mean == pytest.approx(more) and verdict(difference) == "better"
+    assert verdict(paired(values, [v + more for v in values])) == "worse"
+    told = interval(values)
+    assert min(values) - 1e-9 <= told.low <= told.mean + 1e-9 and told.mean - 1e-9 <= told.high
+    assert verdict(Interval(0.0, -0.1, 0.1)) == "not told apart"
+
+
+def test_worth_ends_jams_and_recovery_are_summed_by_when_requests_were_born() -> None:
+    measure = Measure(day(10.0, [{"kind": "slow", "at_s": 2.0, "for_s": 2.0}],
+                          experiment={"measured_from_s": 1.0}))  # fmt: skip
+    for second in range(10):
+        for cls, took in ((0, 100.0), (1, 900.0 if 2 <= second < 6 else 100.0)):
+            measure.offered(second * 1000.0)
+            measure.over(second * 1000.0, cls, 0, "served", took)
+    told = measure.plain()
+    assert told["classes"]["lookup"]["ends"] == {"served": 9}
+    assert told["classes"]["assign"]["ends"] == {"served": 5, "late": 4}
+    assert told["share"] == pytest.approx((9 * 2 + 5 * 8) / (9 * 10))
+    assert told["recovery_s"] == 2.0 and told["jam_s"] == 0
+    assert told["quantiles"]["p50"] == pytest.approx(100.0, rel=0.01)
+
+
+# Peers.
+
+
+def test_a_name_that_is_no_peer_is_told() -> None:
+    from badgercart.core.join import Join
+    from lab.clock import Clock
+
+    clock = Clock()
+    for name in ("nobody", "p2c+nobody", "badgercart+aimd"):
+        with pytest.raises(LookupError, match="is none of"):
+            make(name, day(), Join(day().policy_settings(0), 1, clock, clock.time), 1)
+
+
+def test_limits_and_the_budget_move_as_their_sources_say() -> None:
+    aimd = Aimd()
+    for _ in range(30):
+        aimd.ended(0.0, 10.0, False, 1000)
+    assert aimd.limit == 50.0 and aimd.allows(49) and not aimd.allows(50)
+    aimd.ended(0.0, 10.0, True, 50)
+    assert aimd.limit == 45.0
+    aimd.ended(0.0, 10.0, False, 3)  # not in use: no reason to grow
+    assert aimd.limit == 45.0
+    gradient = Gradient()
+    for _ in range(200):
+        gradient.ended(0.0, 10.0, False, 1000)
+    grown = gradient.limit
+    for _ in range(50):
+        gradient.ended(0.0, 200.0, False, 1000)
+    assert grown > 100 and gradient.limit < grown / 2
+    budget = RetryBudget(0.2)
+    assert sum(budget.take(0.0) for _ in range(1000)) == 100  # 10 a second, over 10 s
+    for _ in range(50):
+        budget.request(1000.0)
+    assert sum(budget.take(1000.0) for _ in range(1000)) == 10
+    assert sum(budget.take(30_000.0) for _ in range(1000)) == 100
+
+
+def test_least_request_keeps_to_weights() -> None:
+    import random
+
+    from cottonhall.interface import ServerEntry, State
+    from lab.peers.base import Host
+
+    picker = WeightedLeastRequest(random.Random(1))
+    hosts = [Host(ServerEntry(n, 0, 0, 0, State.READY, float(n), 0.0)) for n in (1, 2, 5)]
+    picker.hosts(hosts)
+    counts: dict[int, int] = dict.fromkeys((1, 2, 5), 0)
+    for _ in range(800):
+        host = picker.pick(0.0, [])
+        assert host is not None
+        counts[host.entry.id] += 1
+    assert [counts[n] for n in (1, 2, 5)] == [pytest.approx(n * 100, abs=3) for n in (1, 2, 5)]
+    assert picker.pick(0.0, [1, 2, 5]) is None
