Keep the policy open after a pause and before a cold fleet; keep what was learned over a restart

A log of each upkeep showed why: a node of a quarter core stands still for 0.1 to 0.2 s, then sends on all that came meanwhile (111 attempts out, 13 needed); 73 of them time out, and the share of errors holds a full cut for 0.9 s with nothing out. The lab showed a wholly cold fleet refused 18% at x = 0: tokens wait for warm peers that are not there.

Attempts open now over three times the need refuse lowest scores first, over six times all; a full cut that leaves servers idle fades 20 times as fast where eight attempts or more are needed; a wholly cold fleet is sent to by listed sizes and by what it answers, and its warmth is measured at each upkeep.

[learning] keeps what was learned in a folder, whole at any kill or power loss, by names and wall time, aged by value, given back to servers that have not started anew; badgercart learned shows it.

--- a/badgercart/capture/part.py
+++ b/badgercart/capture/part.py
@@ -54,6 +54,7 @@
             self.undo.append(watch(name, machine, self.capture.note))
 
     async def start(self) -> None:
+        self.capture.begin_anew()
         self.join_streams()
         WRITING(folder=str(self.folder))
         self.flush()
--- a/badgercart/capture/replay.py
+++ b/badgercart/capture/replay.py
@@ -112,7 +112,7 @@
     if segment.head["module"] == module_digest():
         return thaw(segment.head["state"])
     fresh = Policy(decode_settings(segment.head["settings"]), segment.head["seed"])
-    if segment.head["events_before"]:
+    if segment.head["events_before"] or segment.head.get("adopted"):
         fresh.__dict__.update(thaw(segment.head["state"]).__dict__)
     return fresh
 
--- a/badgercart/capture/writer.py
+++ b/badgercart/capture/writer.py
@@ -162,6 +162,7 @@
             "events_before": self.before,
             "wall_ms": time.time() * 1000,
             "state": state,
+            "adopted": bool(self.policy.known),
         }
         data = head(fields)
         self.head = len(data)
@@ -170,6 +171,12 @@
         for snapshot in self.snapshots:
             self.add(record(Kind.NOTE, snapshot()))
 
+    def begin_anew(self) -> None:
+        """The policy was given something before its first event: the first segment begins with that."""
+        if not self.total and not self.number:
+            self.out, self.out_size, self.number = [], 0, -1
+            self.begin(freeze(self.policy))
+
     def under_way(self) -> set[int]:
         """The requests that events may still come about."""
         out = {number for server in self.policy.servers.values() for number, _ in server.open}
--- /dev/null
+++ b/badgercart/learning/ageing.py
@@ -0,0 +1,68 @@
+"""How what was learned fades towards what is assumed of the unknown. No I/O.
+
+value(t) = prior + (value - prior) * 2 ** (-t / half), so that ageing in two steps is ageing in one, and after
+endless time nothing is left but the prior. Times of servers' answers are worth most within a minute: what
+makes a server slow passes; what a kind of machine can do stays for days.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+from cottonhall.interface import Settings
+from cottonhall.memory import Memory
+
+SECOND, MINUTE, HOUR = 1000.0, 60_000.0, 3_600_000.0
+HALF = {  # ms after which half of it is left
+    "usual": HOUR,  # the work of a class changes with its software
+    "kinds": 24 * HOUR,  # what a kind of machine can do
+    "offered": MINUTE,  # which classes come
+    "answers": 10 * MINUTE,  # the trust in the quickest mean time; the time itself can't fade to a prior
+    "rates": MINUTE,  # the best that was carried
+    "keys": 5 * SECOND,  # as the policy halves them itself
+    "slow": MINUTE,  # what slows one server
+    "recent": 5 * SECOND,  # as the policy halves them itself
+    "fails": 30 * SECOND,
+    "strikes": 2 * MINUTE,
+}
+LEAST_KEY = 0.5  # requests: of fewer the policy keeps no key
+
+
+def left(what: str, age: float) -> float:
+    """The part that is left after `age` ms."""
+    return math.exp2(-min(max(age, 0.0) / HALF[what], 1000.0))
+
+
+def towards(prior: float, value: float, part: float) -> float:
+    return prior + (value - prior) * part
+
+
+def aged(memory: Memory, age: float, settings: Settings) -> Memory:
+    """What is left of it after `age` ms (under 0 counts as 0)."""
+    usual, kinds, slow = left("usual", age), left("kinds", age), left("slow", age)
+    recent, fails, strikes = left("recent", age), left("fails", age), left("strikes", age)
+    rates, offered, keys = left("rates", age), left("offered", age), left("keys", age)
+    priors = [cls.aim / 4 for cls in settings.classes]
+    return Memory(
+        usual=[towards(prior, value, usual) for prior, value in zip(priors, memory.usual, strict=False)],
+        offered=[count * offered for count in memory.offered],
+        kinds={kind: towards(1.0, pace, kinds) for kind, pace in memory.kinds.items()},
+        least=memory.least,
+        mean=memory.mean,
+        answers=memory.answers * left("answers", age),
+        best_rate=memory.best_rate * rates,
+        carried=memory.carried * rates,
+        keys={key: count * keys for key, count in memory.keys.items() if count * keys > LEAST_KEY},
+        keys_total=memory.keys_total * keys,
+        servers={
+            number: replace(
+                known,
+                slow=towards(1.0, known.slow, slow),
+                recent=known.recent * recent,
+                fails=tuple(value * fails for value in known.fails),
+                strikes=tuple(value * strikes for value in known.strikes),
+            )
+            for number, known in memory.servers.items()
+        },
+    )
--- /dev/null
+++ b/badgercart/learning/events.py
@@ -0,0 +1,33 @@
+"""What is said in the log of what is kept over a restart."""
+
+from __future__ import annotations
+
+import logging
+
+from badgercart.core.events import event
+
+RESTORED = event(
+    "learning.restored",
+    logging.INFO,
+    "learned before: %(servers)d servers, %(age_s)d s old",
+    "What the last run learned is in force, as far as its age lets it.",
+)
+UNUSED = event(
+    "learning.unused",
+    logging.WARNING,
+    "what was learned before is not used: %(cause)s",
+    "The node begins with nothing learned. `badgercart learned check` says more of the file.",
+)
+OFF = event(
+    "learning.off",
+    logging.ERROR,
+    "what is learned is not kept: %(cause)s",
+    "The folder is missing, in use by another node, read-only, or holds a file of a later version. Nothing "
+    "is saved until a restart; the node runs as without it.",
+)
+FAILED = event(
+    "learning.failed",
+    logging.WARNING,
+    "what was learned could not be saved: %(cause)s",
+    "The file before it is kept, and the next save is tried in time.",
+)
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -10,6 +10,7 @@
 
 PARTS = (
     "badgercart.capture.part",
+    "badgercart.learning.part",
     "badgercart.metrics.part",
     "badgercart.membership.part",
     "badgercart.membership.etcd.part",
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -147,6 +147,17 @@
     started: float  # 0: long ago
 
 
+@dataclass(slots=True, frozen=True)
+class Known:
+    """What was learned of a server before a restart; by class where it is several."""
+
+    started: float  # as `ServerEntry.started`: of another start all else is void
+    slow: float  # its answers' time over the usual
+    recent: float  # attempts lately
+    fails: tuple[float, ...]
+    strikes: tuple[float, ...]
+
+
 # Events: what the module is told.
 
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -13,9 +13,9 @@
 
 from cottonhall.fleet import Level, Ring, Sizes
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Diverted, Effect, Event, Fail, Group, ListKind, Log, Outcome,
-    Refuse, Request, Result, Resume, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake,
-    Withdrawn,
+    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Diverted, Effect, Event, Fail, Group, Known, ListKind, Log,
+    Outcome, Refuse, Request, Result, Resume, Send, ServerEntry, ServerList, Settings, State, Subscribe,
+    Timer, Wake, Withdrawn,
 )  # fmt: skip
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
@@ -25,6 +25,8 @@
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
 ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
 IN_FLIGHT_FROM, IN_FLIGHT_FULL = 1.0, 1.5  # overload begins and is 1 at these multiples of a fleet's need
+BURST_FROM, BURST_FULL = 3.0, 6.0  # the same of attempts open now, for what comes all at once behind a pause
+IDLE_FADE, IDLE_NEED = 20.0, 8.0  # what was seen fades so much faster in a full cut on idle servers, if any
 ERROR_TIME, REACH = 4000.0, 33.0  # the error share looks back over so many ms and so many attempts
 STALE = 100.0  # refusals after which what was seen before them has faded: they add nothing to it
 PRIOR = 4.0  # attempts taken as good beside those seen: a few that fail by chance are no overload
@@ -124,6 +126,7 @@
         self.points: dict[int, int] = {}  # how many each of them has there
         self.unplaced: dict[int, None] = {}  # those that have too few or too many yet
         self.rested: set[int] = set()  # servers that rest or did, until they prove themselves
+        self.known: dict[int, Known] = {}  # what was learned of servers before this start
         self.jobs: dict[int, Job] = {}
         n = len(settings.classes)
         self.pace = min(1.0, min(c.aim for c in settings.classes) / AIM)
@@ -145,7 +148,7 @@
         self.x, self.cut, self.shedding = 0.0, 0.0, False
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
-        self.warm = self.sized = self.strongest = self.mean_strength = 1.0
+        self.warm = self.slots = self.strongest = self.mean_strength = 1.0
         self.ask_backoff = settings.ask_within / 40
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.turns: dict[int, Turn] = {}  # by key
@@ -202,7 +205,8 @@
             self.out.append(Fail(request.id))  # it may have run, and nothing tells where and when
             return
         score = self.bands[group][0] + self.bands[group][1] * self.random.random()
-        if score < self.cut:
+        burst = (self.flying / self.need - BURST_FROM) / (BURST_FULL - BURST_FROM)
+        if score < self.cut or (burst > 0 and score < 100.0 * min(burst, 1.0) ** 3):
             # What is refused tells nothing: unless it ages what was seen, a cut that stops nearly all is fed
             # by its own silence, since good and bad attempts fade alike.
             self.failed -= self.failed / STALE
@@ -232,6 +236,8 @@
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
             self.measure_fleet()
+        elif self.cold:
+            self.measure_warmth()
         self.set_bands()
         self.set_cut(passed)
 
@@ -253,7 +259,10 @@
         self.in_flight += (self.flying - self.in_flight) * part
         self.sending += (self.sent / max(passed, 1.0) - self.sending) * part
         self.sent = 0
-        keep = 1 - min(0.5, passed / (ERROR_TIME * self.pace))  # so that a full stop is not for ever
+        # Nothing comes then that could tell of a better time; of few attempts that none is out is chance.
+        idle = self.x >= 1.0 and self.flying < self.need / 4 and self.need >= IDLE_NEED
+        fade = passed / (ERROR_TIME * self.pace) * (IDLE_FADE if idle else 1.0)
+        keep = 1 - min(0.5, fade)  # so that a full stop is not for ever
         self.failed, self.seen = self.failed * keep, self.seen * keep
         self.errors = self.failed / (self.seen + PRIOR)
         self.learn_need(passed)
@@ -281,7 +290,7 @@
             if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME * self.pace > SAMPLE / 2:
                 self.best_rate = max(self.best_rate, self.sending)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
-        self.need = max(self.sized, margin * self.best_rate * self.least)
+        self.need = max(self.slots * self.warm, margin * self.best_rate * self.least)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
@@ -405,8 +414,15 @@
     def cold_token(self, server: Server) -> bool:
         # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
         # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
-        one = 1.0 / self.settings.group_size / max(self.usual)
-        rate = COLD_SHARE * self.cold_share(server) * max(self.carried, one) * len(self.ready) / self.span
+        # A fleet that begins cold has no warm peers to tell that: there listed sizes do, and what is answered
+        # makes room for the next.
+        begins = len(self.cold) > 0.9 * len(self.ready)
+        size = server.entry.size if begins and 0.5 <= server.entry.size <= 8 else 1.0
+        if begins and (len(server.open) + 1) * self.settings.group_size <= size:
+            return True
+        one = size / self.settings.group_size / max(self.usual)
+        share = self.cold_share(server) * (1.0 if begins else COLD_SHARE)
+        rate = share * max(self.carried, one) * len(self.ready) / self.span
         server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
         server.tokens_at = self.now
         return server.tokens >= 1.0
@@ -630,15 +646,13 @@
         self.start = group * count // groups
         self.span = max(1, (group + 1) * count // groups - self.start)
         self.ours = self.ready[self.start : self.start + self.span]
-        self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
-        share = sum(self.cold_share(self.servers[i]) for i in self.cold)
-        self.warm = max(count - len(self.cold) + share, 1.0)  # servers, cold ones by what they can do
+        self.measure_warmth()
         kinds = [(kind, sizes) for kind, sizes in self.sizes.items() if sizes.order]
         pace = {kind: self.kinds.get(kind, 1.0) for kind, _ in kinds}
         strongest = [sizes.largest / pace[kind] / self.strongest for kind, sizes in kinds]
         self.strongest *= max(strongest, default=1.0) or 1.0  # a list may give no sizes
         size = sum(sizes.total for _, sizes in kinds) / max(1, count)  # 1 serves one at once
-        self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
+        self.slots = (size if 0.5 <= size <= 8 else 1.0) / self.settings.group_size
         strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
         self.mean_strength = strength / max(1, count)
         if groups != 1 or self.groups != 1:
@@ -647,6 +661,13 @@
         self.groups = groups
         self.mark_points(pace)
 
+    def measure_warmth(self) -> None:
+        self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
+        share = sum(self.cold_share(self.servers[i]) for i in self.cold)
+        self.warm = max(
+            len(self.ready) - len(self.cold) + share, 1.0
+        )  # servers, cold ones by what they can do
+
     def mark_points(self, pace: dict[int, float]) -> None:
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
         strongest = self.strongest
@@ -697,6 +718,20 @@
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
             if old is not None:
                 self.servers[entry.id].open = old.open
+            if (known := self.known.pop(entry.id, None)) is not None and old is None:
+                self.remember(self.servers[entry.id], known)
         self.noted.add(entry.id)
         self.servers[entry.id].entry = entry
         self.forget(self.servers[entry.id])
+
+    def remember(self, server: Server, known: Known) -> None:
+        """Take over what was learned of a server before our own start, unless it has started anew since."""
+        if abs(known.started - server.entry.started) >= 1.0 or len(known.fails) != len(server.health):
+            return
+        server.slow, server.recent = known.slow, known.recent
+        self.total_recent += known.recent
+        for health, fails, strikes in zip(server.health, known.fails, known.strikes, strict=True):
+            health.fails, health.strikes = fails, round(strikes)
+            if fails > SUSPECT_AT and len(self.rested) < MAX_RESTING * max(len(self.noted), FEW):
+                health.rest_until = self.now or 1e-9  # one attempt at a time until it proves itself
+                self.rested.add(server.entry.id)
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -140,6 +140,24 @@
         raise click.exceptions.Exit(Exit.FAILED)
 
 
+@cli.command()
+@click.argument("files", nargs=-1, required=True, metavar="FILE.toml...")
+@click.option(
+    "--results",
+    type=click.Path(file_okay=False),
+    default="lab.results",
+    show_default=True,
+    help="Where finished days are kept.",
+)
+@WORKERS
+@BASE
+def table(files: tuple[str, ...], results: str, workers: int | None, base: str) -> None:
+    """Many experiments in one Markdown table: a line each, a column a policy."""
+    from lab.report import table as made
+
+    click.echo(made({Path(file).stem: swept(file, results, workers) for file in files}, base))
+
+
 @cli.command()
 @FILE
 @RESULTS
--- a/lab/report.py
+++ b/lab/report.py
@@ -118,6 +118,25 @@
     return "\n".join([*lines, *("| " + " | ".join(row) + " |" for row in rows(found, base))])
 
 
+def table(days: dict[str, Days], base: str = OURS) -> str:
+    """Worth in time of many experiments, a line each and a column a policy; bold where it beats the base,
+    with
+    `!` where rules were broken."""
+    names = list(dict.fromkeys(cell.policy for told in days.values() for cell, _ in told))
+    lines = ["| world | " + " | ".join(names) + " |", "|" + " --- |" * (len(names) + 1)]
+    for world, told in days.items():
+        found = summaries(told)
+        cells = {}
+        for one in found:
+            share, difference = one.share, against(one, found, base)
+            text = f"{share.mean:.3f} ±{(share.high - share.low) / 2:.3f}"
+            if difference is not None and verdict(difference) == "better":
+                text = f"**{text}**"
+            cells[one.policy] = text + (f" !{one.breaches}" if one.breaches else "")
+        lines.append(f"| {world} | " + " | ".join(cells.get(name, "") for name in names) + " |")
+    return "\n".join(lines)
+
+
 # Figures.
 
 
--- a/lab/sweep.py
+++ b/lab/sweep.py
@@ -11,11 +11,15 @@
 from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures.process import BrokenProcessPool
 from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
 from typing import Any
 
+import cottonhall.fleet
+import cottonhall.rules
 from lab import __version__
 from lab.model import play
+from lab.peers import OURS
 from lab.settings import Cell
 
 SUFFIX = ".json"
@@ -25,12 +29,21 @@
     """A sweep that could not be finished: which days failed, with their seeds."""
 
 
+@cache
+def policy_text() -> str:
+    """What tells our policy from itself before a change."""
+    files = [Path(str(module.__file__)) for module in (cottonhall.rules, cottonhall.fleet)]
+    return hashlib.sha256(b"".join(path.read_bytes() for path in files)).hexdigest()
+
+
 def name_of(cell: Cell) -> str:
     """A file name that changes with anything that the day depends on."""
     day = cell.day.model_dump(mode="json", by_alias=True)
     day["experiment"] |= {"seeds": [], "policies": [], "name": ""}
     day["grid"] = {}
     told = [__version__, cell.policy, cell.seed, day]
+    if cell.policy == OURS:
+        told.append(policy_text())
     return hashlib.sha256(json.dumps(told, sort_keys=True).encode()).hexdigest()[:24] + SUFFIX
 
 
--- /dev/null
+++ b/tests/learning/test_part.py
@@ -0,0 +1,83 @@
+"""A node gets back what it learned, and nothing that is wrong with its folder keeps it from serving."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from badgercart.learning import snapshot, store
+from standins.demo import NodeProcess
+from standins.fleet import Fleet, operators_file
+from standins.traffic import arrivals, play
+
+
+async def run(
+    folder: Path, starts: int, prepare: Callable[[Path], None], also: bool = False
+) -> list[list[str]]:
+    """Start a node so often, send to it each time; what it logged of what was learned, by start."""
+    fleet = await Fleet(3, 1).start()
+    fleet.servers[0].slowness = 5.0
+    file, kept, told = folder / "node.toml", folder / "kept", []
+    prepare(kept)
+    text = operators_file(fleet.catalog.address) + f'[learning]\nfolder = "{kept}"\nevery_s = 0.5\n'
+    file.write_text(text)
+    try:
+        for _ in range(starts):
+            nodes = [NodeProcess(("http",)) for _ in range(2 if also else 1)]
+            for node in nodes:
+                await node.start(file)
+            for node in nodes:
+                results = await play(node.fronts["http"], list(arrivals(1, 60.0, 1.0)))
+                assert sum(result.outcome == "served" for result in results) > len(results) / 2
+            for node in nodes:
+                assert await node.stop() == 0
+                lines = [json.loads(line) for line in node.lines if line.startswith("{")]
+                told.append([line["event"] for line in lines if line["event"].startswith("learning.")])
+    finally:
+        await fleet.stop()
+    return told
+
+
+def folder_of(content: bytes | None = None) -> Callable[[Path], None]:
+    def prepare(kept: Path) -> None:
+        kept.mkdir()
+        if content is not None:
+            (kept / store.CURRENT).write_bytes(content)
+
+    return prepare
+
+
+LATER = snapshot.PREFIX.pack(snapshot.MAGIC, 9, 0, 0)
+
+
+def test_a_restarted_node_takes_back_what_it_learned(tmp_path: Path) -> None:
+    told = asyncio.run(run(tmp_path, 2, folder_of()))
+    assert told == [[], ["learning.restored"]]
+    kept = store.load(store.Folder(tmp_path / "kept")).snapshot
+    assert kept is not None and len(kept.servers) == 3 and max(part.slow for part in kept.servers) > 1.5
+    assert (tmp_path / "kept" / store.CURRENT).stat().st_mode & 0o777 == 0o600
+
+
+@pytest.mark.parametrize(
+    ("prepare", "told", "left"),
+    [
+        (lambda kept: None, ["learning.off"], None),
+        (folder_of(b"junk"), ["learning.unused"], None),
+        (folder_of(LATER), ["learning.unused", "learning.off"], LATER),
+    ],
+    ids=["no folder", "junk", "a later version"],
+)
+def test_a_node_serves_whatever_its_folder_holds(
+    tmp_path: Path, prepare: Callable[[Path], None], told: list[str], left: bytes | None
+) -> None:
+    assert asyncio.run(run(tmp_path, 1, prepare)) == [told]
+    if left is not None:
+        assert (tmp_path / "kept" / store.CURRENT).read_bytes() == left
+
+
+def test_two_nodes_never_share_a_folder(tmp_path: Path) -> None:
+    assert asyncio.run(run(tmp_path, 1, folder_of(), also=True)) == [[], ["learning.off"]]
--- a/tests/policy/test_carriers.py
+++ b/tests/policy/test_carriers.py
@@ -66,6 +66,7 @@
 def test_no_fallbacks_unless_asked_for_and_never_a_cold_one() -> None:
     assert sent(ask(policy(), 0)).fallbacks == ()
     made = policy(started=NOW - 100.0)
+    made.need, made.upkeep_at = 100.0, NOW  # none of them is answered: that is no burst
     for number in range(20):
         send = sent(made.handle(NOW, Request(number + 1, 0, NOW + 900.0, fallbacks=3)))
         assert set(send.fallbacks) <= {1}
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -18,6 +18,7 @@
     stage.policy.failed = (ERRORS_FROM + x * (ERRORS_FULL - ERRORS_FROM)) * (1000.0 + PRIOR)
     stage.policy.set_bands()
     stage.policy.set_cut(0.0)
+    stage.policy.need = 1e9  # nothing is answered from here on: that is no burst
     stage.policy.upkeep_at = stage.now
 
 
--- a/tests/processor/test_drains.py
+++ b/tests/processor/test_drains.py
@@ -47,6 +47,7 @@
             # 40 at once on the server that is left may be more than its need: the cut is another matter here,
             # and it follows the machine's pace.
             bench.join.policy.set_cut = lambda passed: None  # type: ignore[method-assign]
+            bench.join.policy.need = 1e9
             held: asyncio.Queue[str] = asyncio.Queue()
             release = asyncio.Event()
 
