--- a/badgercart/learning/part.py
+++ b/badgercart/learning/part.py
@@ -20,6 +20,11 @@
 PATIENCE = 2.0  # s for the last save
 
 
+def give_way() -> None:
+    """On the saving thread: let the loop have the interpreter now, not after its switch interval of 5 ms."""
+    time.sleep(0.0002)
+
+
 class LearningPart:
     """Nothing that is wrong with the folder costs a request: it is said, and the node runs as without it."""
 
@@ -99,7 +104,8 @@
 
         assert isinstance(memory, Memory)
         offset = self.host.reader.unix_offset
-        data = snapshot.encode(snapshot.take(memory, self.host.config, time.time() * 1000, offset))
+        now = time.time() * 1000
+        data = snapshot.encode(snapshot.take(memory, self.host.config, now, offset, give_way))
         if len(data) > self.settings.most_bytes:
             raise ValueError(f"it takes {len(data)} bytes, over most_bytes")
         store.save(self.files, data)
--- a/badgercart/learning/snapshot.py
+++ b/badgercart/learning/snapshot.py
@@ -25,6 +25,7 @@
 MAGIC = b"BLRN"
 VERSION = 1
 PREFIX = struct.Struct(">4sHII")
+SLICE = 64  # servers between two pauses
 MAX_BYTES = 64 << 20  # of a file; a longer one is not read
 
 # A bound is met by no NaN: nothing that is read needs another check.
@@ -91,8 +92,11 @@
     return "/".join((",".join(config.zones), ",".join(config.kinds)))
 
 
-def take(memory: Memory, config: Config, saved_ms: float, unix_offset: float) -> Snapshot:
-    """`unix_offset`: Unix time less the node's clock, ms."""
+def take(
+    memory: Memory, config: Config, saved_ms: float, unix_offset: float, pause: Callable[[], object] = int
+) -> Snapshot:
+    """`unix_offset`: Unix time less the node's clock, ms. `pause` is called now and then, for others'
+    turn."""
     count = len(memory.usual)
     names = [name.decode() for name in config.classes]
     kinds = {number: name for name, number in config.kinds.items()}
@@ -100,13 +104,13 @@
         name: ClassPart(memory.usual[at], memory.offered[at], memory.offered[count + at])
         for at, name in enumerate(names)
     }
-    servers = [
-        ServerPart(
-            number, round(known.started + unix_offset) if known.started else 0.0, known.slow, known.recent,
-            list(known.fails), list(known.strikes),
-        )
-        for number, known in memory.servers.items()
-    ]  # fmt: skip
+    servers = []
+    for place, (number, known) in enumerate(memory.servers.items()):
+        if place % SLICE == 0:
+            pause()
+        started = round(known.started + unix_offset) if known.started else 0.0
+        fails, strikes = list(known.fails), list(known.strikes)
+        servers.append(ServerPart(number, started, known.slow, known.recent, fails, strikes))
     return Snapshot(
         config.name, fleet_of(config), saved_ms, classes,
         {kinds[number]: pace for number, pace in memory.kinds.items() if number in kinds},
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import gc
 import sys
 import tempfile
 import time
@@ -17,6 +18,7 @@
 from badgercart.config import Config
 from badgercart.learning import snapshot, store
 from badgercart.learning.ageing import aged
+from badgercart.learning.part import give_way
 from cottonhall.interface import (
     Effect,
     ListKind,
@@ -67,12 +69,14 @@
 
 async def measure(servers: int, keys: int, folder: Path) -> str:
     policy, files = policy_of(servers, keys), store.Folder(folder)
+    gc.collect()
+    gc.freeze()  # as a node does after its start
     size = 0
 
     def write(memory: Memory) -> None:
         nonlocal size
 
-        data = snapshot.encode(snapshot.take(memory, CONFIG, time.time() * 1000, 0.0))
+        data = snapshot.encode(snapshot.take(memory, CONFIG, time.time() * 1000, 0.0, give_way))
         size = len(data)
         store.save(files, data)
 
--- a/cottonhall/memory.py
+++ b/cottonhall/memory.py
@@ -35,10 +35,9 @@
     servers = {}
     for server_id in policy.ready:
         server = policy.servers[server_id]
-        fails = tuple(health.fails for health in server.health)
-        strikes = tuple(float(health.strikes) for health in server.health)
-        started = server.entry.started
-        servers[server_id] = Known(started, server.slow, server.recent, fails, strikes)
+        fails = tuple([health.fails for health in server.health])
+        strikes = tuple([float(health.strikes) for health in server.health])
+        servers[server_id] = Known(server.entry.started, server.slow, server.recent, fails, strikes)
     return Memory(
         list(policy.usual),
         list(policy.offered),
