Draw both reports by one module, and close every segment in one place

The capture's report and the lab's each set matplotlib up, cut the SVG out, and wrote style, table and page; a segment's last two records were put together by the writer and by the builder; the report decided events by a loop of its own beside replay.decide.

operator/pages.py has what both pages share, format.closing the end of a segment.

--- a/badgercart/capture/build.py
+++ b/badgercart/capture/build.py
@@ -4,10 +4,8 @@
 
 from typing import Any
 
-import msgspec
-
 from badgercart.capture.codec import Told, encode_batch, plain_actions, plain_event
-from badgercart.capture.format import VERSION, Index, Kind, end_record, head, record
+from badgercart.capture.format import VERSION, Index, Kind, closing, head, record
 from cottonhall.interface import Action, Event
 
 BATCH = 64  # events that are encoded in one go
@@ -43,4 +41,4 @@
         low, high = min(self.numbers, default=0), max(self.numbers, default=0)
         index = Index(self.events, 0, *self.times, low, high, [])
         at = sum(map(len, self.out))
-        return b"".join((*self.out, record(Kind.INDEX, msgspec.msgpack.encode(index)), end_record(at)))
+        return b"".join((*self.out, closing(index, at)))
--- a/badgercart/capture/format.py
+++ b/badgercart/capture/format.py
@@ -89,6 +89,11 @@
     marks: list[tuple[int, float, int]]  # event, its time, offset of the record that it begins
 
 
+def closing(index: Index, at: int) -> bytes:
+    """The last two records of a segment, whose index begins at offset `at`."""
+    return record(Kind.INDEX, msgspec.msgpack.encode(index)) + end_record(at)
+
+
 _INDEX: msgspec.msgpack.Decoder[Index] = msgspec.msgpack.Decoder(Index)
 
 
@@ -163,6 +168,6 @@
                 return
             at = end
 
-    def close(self, index: int | None = None) -> bytes:
+    def close(self, index: int) -> bytes:
         """What the last record of a segment of this version is; for format 2 the offset of its index."""
-        return record(Kind.END, b"") if self.version == 1 else end_record(index or 0)
+        return record(Kind.END, b"") if self.version == 1 else end_record(index)
--- a/badgercart/capture/report.py
+++ b/badgercart/capture/report.py
@@ -1,21 +1,18 @@
-"""The course of a captured night, as one HTML page without outside references.
+"""The course of a captured night, as one HTML page.
 
-Why matplotlib: it draws SVG that every browser shows as it is, with nothing to load. Captures are decided
-anew to know x, the cut and what is in flight, which no event holds.
+Captures are decided anew to know x, the cut and what is in flight, which no event holds.
 """
 
 from __future__ import annotations
 
-import html
-import io
-import logging
 from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from badgercart.capture.format import Segment
-from badgercart.capture.replay import events, start
+from badgercart.capture.replay import decide, events, start
+from badgercart.operator import pages
 from cottonhall.interface import (
     Action,
     Event,
@@ -86,11 +83,7 @@
         for server in policy.servers.values():
             self.states.setdefault(server.entry.id, server.entry.state)
         for item in events(segment):
-            try:
-                actions = policy.handle(item.now, item.event)
-            except Exception:  # as it did then
-                actions = []
-            self.take(policy, item.now, item.event, actions)
+            self.take(policy, item.now, item.event, decide(policy, item.now, item.event) or [])
 
     def take(self, policy: Policy, now: float, event: Event, actions: list[Action]) -> None:
         self.events += 1
@@ -141,12 +134,7 @@
 
 def _plots(course: Course) -> str:
     """All plots over one axis of time, as SVG."""
-    import matplotlib
-
-    logging.getLogger("matplotlib").setLevel(logging.WARNING)  # it tells of its fonts
-    matplotlib.use("svg")
-    from matplotlib import pyplot
-
+    pyplot = pages.pyplot()
     rows = course.rows
     times = [(row.at - rows[0].at) / 1000 for row in rows]
     figure, axes = pyplot.subplots(5, 1, figsize=(11, 14), sharex=True, layout="constrained")
@@ -180,22 +168,9 @@
     for gap in course.gaps:
         for axis in axes:
             axis.axvline((gap - rows[0].at) / 1000, color="grey", linestyle=":", linewidth=0.8)
-    out = io.StringIO()
-    figure.savefig(out, format="svg", metadata={"Date": None})
+    drawn = pages.svg(figure)
     pyplot.close(figure)
-    text = out.getvalue()
-    return text[text.index("<svg") :]
-
-
-STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem;color:#222}
-svg{width:100%;height:auto}table{border-collapse:collapse}td,th{padding:.2rem .8rem;text-align:right;
-border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"""
-
-
-def _table(head: tuple[str, ...], rows: list[tuple[object, ...]]) -> str:
-    cells = "".join(f"<th>{html.escape(name)}</th>" for name in head)
-    lines = ("".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) for row in rows)
-    return f"<table><tr>{cells}</tr>" + "".join(f"<tr>{line}</tr>" for line in lines) + "</table>"
+    return drawn
 
 
 def page(course: Course) -> str:
@@ -207,18 +182,14 @@
         for number, told in worst
     ]
     taken = sum(sum(row.taken.values()) for row in course.rows)
-    ends: list[tuple[object, ...]] = list(course.finals.most_common())
-    title = html.escape(f"Capture of {course.node or 'a node'}")
-    return "\n".join(
+    return pages.page(
+        f"Capture of {course.node or 'a node'}",
         (
-            f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>{title}</title>',
-            f"<style>{STYLE}</style></head><body><h1>{title}</h1>",
             f"<p>{course.events} events, {taken} requests in {seconds:.0f} s.</p>",
             _plots(course),
-            "<h2>How requests ended</h2>",
-            _table(("end", "requests"), ends),
-            "<h2>Servers, those that failed most first</h2>",
-            _table(("server", "attempts", "failed", "mean ms"), servers),
-            "</body></html>\n",
-        )
+            pages.heading("How requests ended"),
+            pages.table(("end", "requests"), course.finals.most_common()),
+            pages.heading("Servers, those that failed most first"),
+            pages.table(("server", "attempts", "failed", "mean ms"), servers),
+        ),
     )
--- a/badgercart/capture/writer.py
+++ b/badgercart/capture/writer.py
@@ -8,8 +8,6 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from badgercart.capture.build import BATCH
 from badgercart.capture.codec import (
     Told,
@@ -20,7 +18,7 @@
     plain_actions,
     plain_event,
 )
-from badgercart.capture.format import VERSION, Index, Kind, end_record, head, record
+from badgercart.capture.format import VERSION, Index, Kind, closing, head, record
 from badgercart.capture.replay import SUFFIX
 from badgercart.capture.settings import CaptureSettings
 from cottonhall.interface import Action, Event, Request
@@ -266,8 +264,7 @@
         at, high = self.size, max(self.high, self.low)
         low = self.low if self.records else 0
         index = Index(self.records, self.told_lost, self.first, self.last, low, high, self.marks)
-        self.add(record(Kind.INDEX, msgspec.msgpack.encode(index)))
-        self.add(end_record(at))
+        self.add(closing(index, at))
         self.hand_over()
 
     def close(self) -> None:
--- a/lab/report.py
+++ b/lab/report.py
@@ -1,12 +1,8 @@
-"""What came of an experiment, for people: tables, one HTML page without outside references, and PNG.
-
-Why matplotlib: the same figures go into the page as SVG and into files as PNG, without a browser's library.
-"""
+"""What came of an experiment, for people: tables, one HTML page, and PNG beside it."""
 
 from __future__ import annotations
 
 import html
-import io
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,6 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from badgercart.operator import pages
 from lab.measure import ENDS, US, histogram
 from lab.peers import OURS
 from lab.settings import Cell, Day
@@ -22,11 +19,6 @@
 Days = list[tuple[Cell, dict[str, Any]]]
 Group = tuple[tuple[tuple[str, Any], ...], str]  # the grid's values, the policy
 
-STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:72rem;margin:2rem auto;padding:0 1rem;color:#222}
-svg{width:100%;height:auto}table{border-collapse:collapse;margin:1rem 0}td,th{padding:.2rem .8rem;
-text-align:right;border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}
-.broken{color:#b00;font-weight:bold}"""
-
 
 @dataclass(slots=True)
 class Summary:
@@ -140,21 +132,9 @@
 # Figures.
 
 
-def _pyplot() -> Any:
-    import logging
-
-    import matplotlib
-
-    logging.getLogger("matplotlib").setLevel(logging.WARNING)  # it tells of its fonts
-    matplotlib.use("agg")
-    from matplotlib import pyplot
-
-    return pyplot
-
-
 def course(told: Summary, day: Day) -> Any:
     """The course of the first seed's day: what came and how it ended, the cut, servers in trouble."""
-    pyplot = _pyplot()
+    pyplot = pages.pyplot()
     first: dict[str, list[float]] = told.days[0]["course"]
     times = list(range(len(first["cut"])))
     figure, axes = pyplot.subplots(3, 1, figsize=(11, 8), sharex=True, layout="constrained")
@@ -179,7 +159,7 @@
 
 def latencies(found: list[Summary]) -> Any:
     """Answer times by quantile, on the scale that shows the tail."""
-    pyplot = _pyplot()
+    pyplot = pages.pyplot()
     figure, axis = pyplot.subplots(figsize=(11, 5), layout="constrained")
     points = [0, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99]
     for told in found:
@@ -201,7 +181,7 @@
     keys = [key for key, _ in found[0].values]
     if not keys:
         return None
-    pyplot = _pyplot()
+    pyplot = pages.pyplot()
     columns = list(dict.fromkeys(told.values[0][1] for told in found))
     lines = list(dict.fromkeys((told.policy, told.values[1:]) for told in found))
     grid = [[float("nan")] * len(columns) for _ in lines]
@@ -232,43 +212,34 @@
     return made
 
 
-def _svg(figure: Any) -> str:
-    out = io.StringIO()
-    figure.savefig(out, format="svg", metadata={"Date": None})
-    text = out.getvalue()
-    return text[text.index("<svg") :]
-
-
 def write(days: Days, output: Path, base: str = OURS, png: bool = True) -> list[Path]:
     """Write the page, and beside it the figures as PNG; gives the files."""
     found = summaries(days)
     made = figures(days, found)
-    title = html.escape(days[0][0].day.experiment.name)
-    cells = "".join(f"<th>{html.escape(name)}</th>" for name in COLUMNS)
-    lines = []
-    for row in rows(found, base):
-        style = ' class="broken"' if row[-1] != "0" else ""
-        lines.append(f"<tr{style}>" + "".join(f"<td>{html.escape(cell)}</td>" for cell in row) + "</tr>")
+    lines = rows(found, base)
     broken = [
         f"<li>{html.escape(cell.name)}: rule {rule} at {at:.0f} ms: {html.escape(words)}</li>"
         for cell, result in days
         for rule, at, words in result["shown"][:3]
     ]
-    text = "\n".join(
+    rules = (
+        pages.heading("Broken rules") + f"<ul>{''.join(broken)}</ul>"
+        if broken
+        else "<p>No rule was broken.</p>"
+    )
+    text = pages.page(
+        days[0][0].day.experiment.name,
         (
-            f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>{title}</title>',
-            f"<style>{STYLE}</style></head><body><h1>{title}</h1>",
             f"<p>{len(days)} days; intervals of 95%; differences are paired by seed, "
             f"to {html.escape(base)}.</p>",
-            f"<table><tr>{cells}</tr>{''.join(lines)}</table>",
-            f"<h2>Broken rules</h2><ul>{''.join(broken)}</ul>" if broken else "<p>No rule was broken.</p>",
-            *(f"<h2>{html.escape(name)}</h2>{_svg(figure)}" for name, figure in made.items()),
-            "</body></html>\n",
-        )
+            pages.table(COLUMNS, lines, frozenset(at for at, row in enumerate(lines) if row[-1] != "0")),
+            rules,
+            *(pages.heading(name) + pages.svg(figure) for name, figure in made.items()),
+        ),
     )
     output.write_text(text)
     files = [output]
-    pyplot = _pyplot()
+    pyplot = pages.pyplot()
     for name, figure in made.items():
         if png:
             files.append(output.with_name(f"{output.stem}-{name}.png"))
