--- a/badgercart/learning/part.py
+++ b/badgercart/learning/part.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from badgercart.learning.store import Folder, Lock
+    from cottonhall.memory import Memory
 
 FUTURE = 5000.0  # ms by which a file may be younger than now: clocks are set
 PATIENCE = 2.0  # s for the last save
@@ -98,11 +99,9 @@
         else:
             self.saves += 1
 
-    def write(self, memory: object) -> None:
+    def write(self, memory: Memory) -> None:
         from badgercart.learning import snapshot, store
-        from cottonhall.memory import Memory
 
-        assert isinstance(memory, Memory)
         offset = self.host.reader.unix_offset
         now = time.time() * 1000
         data = snapshot.encode(snapshot.take(memory, self.host.config, now, offset, give_way))
--- a/badgercart/learning/snapshot.py
+++ b/badgercart/learning/snapshot.py
@@ -93,7 +93,11 @@
 
 
 def take(
-    memory: Memory, config: Config, saved_ms: float, unix_offset: float, pause: Callable[[], object] = int
+    memory: Memory,
+    config: Config,
+    saved_ms: float,
+    unix_offset: float,
+    pause: Callable[[], object] = lambda: None,
 ) -> Snapshot:
     """`unix_offset`: Unix time less the node's clock, ms. `pause` is called now and then, for others'
     turn."""
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -113,7 +112,7 @@
         try:
             return list(
                 sweep(
-                    wanted, results_of(file, results), workers or os.cpu_count() or 1,
+                    wanted, results_of(file, results), workers or 0,
                     lambda told: shown.update(task, completed=told.done, description=told.name),
                 )
             )  # fmt: skip
--- a/lab/model.py
+++ b/lab/model.py
@@ -118,8 +118,12 @@
         if not self.up:
             return
         self.version += 1
-        lines = [self.world.entry(server) for server in servers if server.number not in without]
-        for server, line in zip([s for s in servers if s.number not in without], lines, strict=True):
+        lines = []
+        for server in servers:
+            if server.number in without:
+                continue
+            line = self.world.entry(server)
+            lines.append(line)
             if line.state is State.READY:
                 self.told_leaving.pop(server.number, None)
             else:
--- a/lab/sweep.py
+++ b/lab/sweep.py
@@ -80,6 +80,58 @@
     name: str  # of the day that was finished last
 
 
+class Sweep:
+    """Plays days into a folder, and keeps count."""
+
+    def __init__(
+        self,
+        folder: Path,
+        total: int,
+        progress: Callable[[Progress], None],
+        task: Callable[[Cell, str], str],
+    ) -> None:
+        self.folder, self.total, self.progress, self.task = folder, total, progress, task
+        self.done = 0
+        self.failed: dict[str, str] = {}  # by the day's name: what is wrong
+        self.context = multiprocessing.get_context("spawn")
+
+    def missing(self, cells: Iterable[Cell]) -> list[Cell]:
+        """Those that are neither there nor have failed."""
+        left = [cell for cell in cells if cell.name not in self.failed]
+        return [cell for cell in left if read(self.folder / name_of(cell)) is None]
+
+    def play(self, cells: list[Cell], workers: int) -> bool:
+        """Whether all workers lived; one that dies takes with it what was not done yet."""
+        lived = True
+        with concurrent.futures.ProcessPoolExecutor(min(workers, len(cells)), self.context) as pool:
+            running = {pool.submit(self.task, cell, str(self.folder)): cell for cell in cells}
+            for future in concurrent.futures.as_completed(running):
+                cell = running[future]
+                try:
+                    future.result()
+                except BrokenProcessPool:
+                    lived = False
+                except Exception as error:
+                    self.failed[cell.name] = f"{type(error).__name__}: {error}"
+                else:
+                    self.done += 1
+                    self.progress(Progress(self.done, self.total, cell.name))
+        return lived
+
+    def play_all(self, cells: list[Cell], workers: int) -> None:
+        """On all workers for as long as that gets on, then each day that is left by itself."""
+        left, idle = cells, 0  # rounds in which nothing was done
+        while left and not self.play(left, workers):
+            before, left = len(left), self.missing(left)
+            idle = idle + 1 if len(left) == before else 0
+            if idle > 1 or len(left) <= workers:
+                break
+            left.reverse()  # what kills stands at the head now, and would again before the others are done
+        for cell in self.missing(left):
+            if not self.play([cell], 1):
+                self.failed[cell.name] = "its process was killed"
+
+
 def sweep(
     cells: Iterable[Cell],
     folder: Path,
@@ -89,41 +141,16 @@
 ) -> Iterator[tuple[Cell, dict[str, Any]]]:
     """Play what is not there yet, then give every day with what came of it, in the order of the cells.
 
-    A worker that dies takes its day with it: that one is played once more, by itself, before it counts as
-    failed. Raises SweepError at the end, once all others are done."""
+    A day counts as failed where its worker dies though it is alone. Raises SweepError at the end, once all
+    others are done. `workers`: 0 for all cores."""
     folder.mkdir(parents=True, exist_ok=True)
     wanted = list(cells)
-    missing = [cell for cell in wanted if read(folder / name_of(cell)) is None]
-    done = len(wanted) - len(missing)
-    failed: dict[str, str] = {}
-    context = multiprocessing.get_context("spawn")
-    count = workers or os.cpu_count() or 1
-    for crowd in (count, 1):  # the second time alone: what killed its worker took others' days with it
-        left = [cell for cell in missing if read(folder / name_of(cell)) is None and cell.name not in failed]
-        while left:
-            broken = False
-            with concurrent.futures.ProcessPoolExecutor(min(crowd, len(left)), context) as pool:
-                running = {pool.submit(task, cell, str(folder)): cell for cell in left}
-                for future in concurrent.futures.as_completed(running):
-                    cell = running[future]
-                    try:
-                        future.result()
-                    except BrokenProcessPool:
-                        broken = True
-                    except Exception as error:
-                        failed[cell.name] = f"{type(error).__name__}: {error}"
-                    else:
-                        done += 1
-                        progress(Progress(done, len(wanted), cell.name))
-            if not broken:
-                break
-            left = [c for c in left if read(folder / name_of(c)) is None and c.name not in failed]
-            if crowd > 1:
-                break
-            failed[left[0].name] = "its process was killed"
-            left = left[1:]
-    if failed:
-        raise SweepError("\n".join(f"{name}: {words}" for name, words in sorted(failed.items())))
+    playing = Sweep(folder, len(wanted), progress, task)
+    missing = playing.missing(wanted)
+    playing.done = len(wanted) - len(missing)
+    playing.play_all(missing, workers or os.cpu_count() or 1)
+    if playing.failed:
+        raise SweepError("\n".join(f"{name}: {words}" for name, words in sorted(playing.failed.items())))
     for cell in wanted:
         result = read(folder / name_of(cell))
         assert result is not None
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -20,7 +20,7 @@
 from lab.peers.pickers import WeightedLeastRequest
 from lab.settings import Cell, cells, load
 from lab.stats import Interval, interval, paired, verdict
-from lab.sweep import SweepError, name_of, read, sweep
+from lab.sweep import Sweep, SweepError, name_of, read, sweep
 from tests.lab.support import day
 
 GOOD = """[experiment]
@@ -231,3 +231,30 @@
         counts[host.entry.id] += 1
     assert [counts[n] for n in (1, 2, 5)] == [pytest.approx(n * 100, abs=3) for n in (1, 2, 5)]
     assert picker.pick(0.0, [1, 2, 5]) is None
+
+
+def _kill_first(cell: Cell, folder: str) -> str:
+    """A worker that dies at the first day of the sweep, whenever that is."""
+    from lab.sweep import _one
+
+    if cell.seed == 1:
+        os.kill(os.getpid(), signal.SIGKILL)
+    return _one(cell, folder)
+
+
+def test_one_day_that_kills_does_not_keep_the_others_from_all_workers(tmp_path: Path) -> None:
+    text = GOOD.replace("seeds = [1, 2]", f"seeds = {list(range(1, 13))}").replace("[0.3, 0.6]", "[0.3]")
+    wanted = [cell for cell in cells(load(written(tmp_path, text), NAMES)) if cell.policy == "p2c"]
+    rounds: list[int] = []
+    play = Sweep.play
+
+    def counted(self: Sweep, left: list[Cell], workers: int) -> bool:
+        rounds.append(workers)
+        return play(self, left, workers)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Sweep, "play", counted)
+        with pytest.raises(SweepError, match="seed=1: its process was killed"):
+            list(sweep(wanted, tmp_path / "r", 2, task=_kill_first))
+    assert len(list((tmp_path / "r").glob("*.json"))) == 11
+    assert rounds.count(1) <= 3  # only the last few were played alone
--- a/tests/learning/test_memory.py
+++ b/tests/learning/test_memory.py
@@ -341,7 +341,7 @@
             store.save(disk, made[1])
             disk.calls, disk.dies = 0, dies
             with pytest.raises(Cut):
-                store.save(disk, made[2] * (1 if turn % 3 else 1))
+                store.save(disk, made[2])
                 raise Cut
             loaded = store.load(disk.after_power_loss())
             assert loaded.snapshot is not None, (turn, dies, loaded.faults)
@@ -405,7 +405,8 @@
         assert killed.returncode == -9, killed.stderr
         loaded = store.load(store.Folder(folder))
         assert loaded.snapshot is not None and not loaded.faults
-        assert (folder / store.CURRENT).stat().st_mode & 0o777 == 0o600 or (folder / store.BEFORE).exists()
+        there = [folder / name for name in (store.CURRENT, store.BEFORE) if (folder / name).exists()]
+        assert there and all(path.stat().st_mode & 0o777 == 0o600 for path in there)
 
 
 def test_a_folder_is_one_process_s(tmp_path: Path) -> None:
