Forget what the first whole list does not name; try files of every wrong age and origin

A server that came back hours later got what was learned before the restart, not aged by those hours, and entries of a fleet that was replaced stayed for good.

The first whole list ends it. Files from the future, too old, of another fleet and of another node's name are tests against a running node now; the last is taken, since what it says of servers holds for any node.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -594,6 +594,8 @@
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
+        if event.kind is ListKind.FULL:
+            self.known.clear()  # whoever comes later comes to what has not been aged
         self.settle()
         self.measure_fleet()
 
--- a/tests/learning/test_memory.py
+++ b/tests/learning/test_memory.py
@@ -154,6 +154,25 @@
     assert policy.servers[1].slow == 1.0  # given back once
 
 
+def test_what_the_first_whole_list_does_not_name_is_forgotten() -> None:
+    """A fleet replaced meanwhile keeps nothing, and a server that comes back later would get what is not
+    aged."""
+    known = Known(777.0, 4.0, 3.0, (0.9, 0.1), (2.0, 0.0))
+    policy, fresh = Policy(SETTINGS, 1), Policy(SETTINGS, 1)
+    adopt(policy, Memory(list(fresh.usual), [0.0] * 4, servers={n: known for n in range(1, 6)}))
+    others = [ServerEntry(n, 0, 0, 0, State.READY, 2.0, 777.0) for n in range(11, 16)]
+    cached = [ServerEntry(1, 0, 0, 0, State.READY, 2.0, 777.0)]  # the list kept from before names one still
+    for one in (policy, fresh):
+        one.handle(6000.0, ServerList(ListKind.CACHED, 0, cached))
+    assert policy.servers[1].slow == 4.0
+    for one in (policy, fresh):
+        one.handle(6001.0, ServerList(ListKind.FULL, 1, others))
+    assert not policy.known and {s.slow for s in policy.servers.values()} == {1.0}
+    back = ServerEntry(2, 0, 0, 0, State.READY, 2.0, 777.0)
+    policy.handle(3_600_000.0, ServerList(ListKind.DELTA, 2, [back]))
+    assert policy.servers[2].slow == 1.0 and not policy.rested
+
+
 def test_a_day_goes_through_a_file_and_back() -> None:
     made = day()
     memory = recall(made.join.policy)
--- a/tests/learning/test_part.py
+++ b/tests/learning/test_part.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
+import msgspec
 import pytest
 
 from badgercart.learning import snapshot, store
@@ -51,6 +54,22 @@
     return prepare
 
 
+def aged_file(age: float, **changes: Any) -> Callable[[Path], None]:
+    """A file of a node of this fleet, saved so many seconds ago."""
+
+    def prepare(kept: Path) -> None:
+        plain: dict[str, Any] = {
+            "node": "demo", "fleet": "angyalfold/k2-fast,k3-slow", "saved_ms": (time.time() - age) * 1000,
+            "classes": {"cab-lookup": {"usual": 80.0, "offered": 9.0, "beyond": 0.0}}, "kinds": {},
+            "least": 40.0, "mean": 50.0, "answers": 60.0, "best_rate": 0.1, "carried": 0.01,
+            "keys_total": 0.0, "keys": {}, "servers": [[1, 0.0, 4.0, 1.0, [0.9], [1.0]]],
+        }  # fmt: skip
+        data = snapshot.encode(msgspec.convert(plain | changes, snapshot.Snapshot))
+        folder_of(data)(kept)
+
+    return prepare
+
+
 LATER = snapshot.PREFIX.pack(snapshot.MAGIC, 9, 0, 0)
 
 
@@ -68,8 +87,22 @@
         (lambda kept: None, ["learning.off"], None),
         (folder_of(b"junk"), ["learning.unused"], None),
         (folder_of(LATER), ["learning.unused", "learning.off"], LATER),
+        (aged_file(5.0), ["learning.restored"], None),
+        (aged_file(5.0, node="another"), ["learning.restored"], None),  # what it says of servers holds for us
+        (aged_file(-600.0), ["learning.unused"], None),
+        (aged_file(40 * 86400.0), ["learning.unused"], None),
+        (aged_file(5.0, fleet="elsewhere/k9"), ["learning.unused"], None),
+    ],
+    ids=[
+        "no folder",
+        "junk",
+        "a later version",
+        "a good file of other servers",
+        "another node's",
+        "from the future",
+        "too old",
+        "another fleet's",
     ],
-    ids=["no folder", "junk", "a later version"],
 )
 def test_a_node_serves_whatever_its_folder_holds(
     tmp_path: Path, prepare: Callable[[Path], None], told: list[str], left: bytes | None
