Count no resting server in what the fleet can hold, and look past full ones

To blame: measure_warmth, whose count of servers makes the need and what a warm one carries; and pick, which took the lighter of a key's two places though it held ten and others none.

Both tests fail without the change.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -280,7 +280,7 @@
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
             self.measure_fleet()
-        elif self.cold:
+        elif self.cold or self.rested:
             self.measure_warmth()
         self.set_bands()
         self.set_cut(passed)
@@ -444,7 +444,8 @@
 
     def pick(self, job: Job) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two."""
-        lighter, least, seen = None, 0.0, 0
+        lighter, least, seen, most = None, 0.0, 0, 2
+        whole = self.span == len(self.ready)
         mean = self.total_recent / self.span
         for server_id in self.draw(job.request.key):
             server = self.servers[server_id]
@@ -455,14 +456,21 @@
             ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
             seen += 1
-            if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
+            if load < 1 + IDLE or lighter is None or (seen <= most and load < least):
                 lighter, least = server, load
-            if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
-                break  # the search for an idle one goes on in a stretch only, where a node knows enough
+            # In a stretch a node knows enough to look on for an idle one; in a whole fleet past full ones.
+            most = DRAW if whole and self.crowded(lighter) else 2
+            if load < 1 + IDLE or seen >= (most if whole else DRAW):
+                break
         if lighter is not None and self.cold_share(lighter) < 1.0:
             lighter.tokens -= 1
         return lighter
 
+    def crowded(self, server: Server) -> bool:
+        """Whether it holds so much over its part of the need that a fleet of its like would be overloaded."""
+        part = self.need / self.warm * self.strength(server)  # a list may give no sizes
+        return len(server.open) * self.mean_strength >= IN_FLIGHT_FULL * part
+
     def draw(self, key: int) -> Iterator[int]:
         """Server ids in the order to look at them."""
         if key and self.settings.warm_keys and self.ring.blocks:
@@ -768,9 +776,14 @@
     def measure_warmth(self) -> None:
         self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
         share = sum(self.cold_share(self.servers[i]) for i in self.cold)
-        self.warm = max(
-            len(self.ready) - len(self.cold) + share, 1.0
-        )  # servers, cold ones by what they can do
+        # What rests is out, too: a need that counted it would fill the others until they thrash.
+        out = sum(self.resting_share(self.servers[i]) for i in self.rested if i in self.placed)
+        self.warm = max(len(self.ready) - len(self.cold) + share - out, 1.0)  # cold ones by what they can do
+
+    def resting_share(self, server: Server) -> float:
+        """What part of its work a server is kept from, over the classes, until it proves itself."""
+        resting = sum(health.rest_until > 0 for health in server.health)
+        return self.cold_share(server) * resting / len(server.health)
 
     def mark_points(self, pace: dict[int, float]) -> None:
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -734,3 +734,33 @@
     number = stage.request()
     assert stage.policy.in_flight > 1.5 * stage.policy.need  # on average it is still full
     assert stage.policy.x == 0.0 and stage.attempts[number] and burst
+
+
+def test_what_rests_is_no_part_of_the_need_until_it_proves_itself() -> None:
+    # Four of eight servers rested, and the need that counted them had the others thrash: a fleet that answers
+    # 300 a second answered 150, and refused half of what came (days of servers taken out, seeds 3 and 4).
+    stage = Stage(settings(), servers=8)
+    policy = stage.policy
+    feed(stage, 50, 1.0)
+    assert policy.warm == 8.0
+    for sick in (0, 1, 2):  # the first for all three classes, the others for the one that is fed
+        for health in policy.servers[sick].health[: 1 if sick else 3]:
+            health.rest_until = stage.now + 500.0
+        policy.rested.add(sick)
+    stage.advance(policy.settings.tick * 20)
+    stage.request()
+    assert policy.warm == pytest.approx(8 - 1 - 2 / 3)
+    feed(stage, 300, 5.0)
+    assert policy.warm == pytest.approx(8 - 2 / 3)  # nothing shows what the first does to other classes
+
+
+def test_past_servers_that_are_full_the_search_for_an_idle_one_goes_on() -> None:
+    # The two places of a key held ten each where others held none: the lighter of the two was taken.
+    stage = Stage(settings(warm_keys=True), servers=8)
+    policy = stage.policy
+    places = {policy.place(7, 0), policy.place(7, 1)}
+    for _ in range(24):
+        policy.keys_total, policy.need = 1e6, 8.0  # other keys draw far more: this one has no more places
+        stage.request(key=7)
+    assert len(places) == 2 and set(sent_to(stage)) == set(policy.servers)
+    assert max(len(policy.servers[i].open) for i in places) <= 5
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -46,7 +46,9 @@
         self.start = group * len(ready) // groups
         self.span = max(1, (group + 1) * len(ready) // groups - self.start)
         self.ours = self.ready[self.start : self.start + self.span]
-        self.warm = max(sum(map(policy.cold_share, ready)), 1.0)
+        works = [sum(h.rest_until == 0 for h in s.health) / len(s.health) for s in ready]
+        shares = [policy.cold_share(s) * part for s, part in zip(ready, works, strict=True)]
+        self.warm = max(sum(shares), 1.0)
 
         def strength(server: Any, strongest: float) -> float:
             return float(server.entry.size / policy.kinds.get(server.entry.kind, 1.0) / strongest)
