--- a/lab/sweep.py
+++ b/lab/sweep.py
@@ -93,7 +93,9 @@
         self.folder, self.total, self.progress, self.task = folder, total, progress, task
         self.done = 0
         self.failed: dict[str, str] = {}  # by the day's name: what is wrong
-        self.context = multiprocessing.get_context("spawn")
+        # Workers are forked from one process that has the model loaded: importing it takes 1.5 s.
+        self.context = multiprocessing.get_context("forkserver")
+        self.context.set_forkserver_preload([__name__])
 
     def missing(self, cells: Iterable[Cell]) -> list[Cell]:
         """Those that are neither there nor have failed."""
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -4,8 +4,6 @@
 from __future__ import annotations
 
 import json
-import os
-import signal
 from pathlib import Path
 
 import pytest
@@ -21,6 +19,7 @@
 from lab.settings import Cell, cells, load
 from lab.stats import Interval, interval, paired, verdict
 from lab.sweep import Sweep, SweepError, name_of, read, sweep
+from tests.lab.killing import kill_always, kill_first, kill_once
 from tests.lab.support import day
 
 GOOD = """[experiment]
@@ -76,32 +75,11 @@
     assert len({name_of(cell) for cell in found}) == 8
 
 
-def _kill_once(cell: Cell, folder: str) -> str:
-    """A worker that dies at its first day of seed 2, and fails for good with policy p2c at load 0.6."""
-    from lab.sweep import _one
-
-    mark = Path(folder) / "killed"
-    if cell.seed == 2 and not mark.exists():
-        mark.write_text("")
-        os.kill(os.getpid(), signal.SIGKILL)
-    if cell.policy == "p2c" and cell.values[0][1] == 0.6:
-        raise RuntimeError("as the test wants")
-    return _one(cell, folder)
-
-
-def _kill_always(cell: Cell, folder: str) -> str:
-    from lab.sweep import _one
-
-    if cell.seed == 2 and cell.policy == "p2c":
-        os.kill(os.getpid(), signal.SIGKILL)
-    return _one(cell, folder)
-
-
 def test_a_sweep_goes_on_when_a_worker_is_killed_and_names_what_failed(tmp_path: Path) -> None:
     wanted = list(cells(load(written(tmp_path), NAMES)))
     folder = tmp_path / "results"
     with pytest.raises(SweepError) as caught:
-        list(sweep(wanted, folder, 2, task=_kill_once))
+        list(sweep(wanted, folder, 2, task=kill_once))
     lines = str(caught.value).splitlines()
     assert len(lines) == 2 and all("p2c arrivals.load=0.6 seed=" in line and "as the test wants" in line
                                    for line in lines)  # fmt: skip
@@ -116,7 +94,7 @@
 def test_a_day_that_always_kills_its_worker_fails_alone(tmp_path: Path) -> None:
     wanted = list(cells(load(written(tmp_path), NAMES)))
     with pytest.raises(SweepError) as caught:
-        list(sweep(wanted, tmp_path / "r", 2, task=_kill_always))
+        list(sweep(wanted, tmp_path / "r", 2, task=kill_always))
     assert [line.split(": ")[1] for line in str(caught.value).splitlines()] == ["its process was killed"] * 2
     assert len(list((tmp_path / "r").glob("*.json"))) == 6
 
@@ -233,15 +211,6 @@
     assert picker.pick(0.0, [1, 2, 5]) is None
 
 
-def _kill_first(cell: Cell, folder: str) -> str:
-    """A worker that dies at the first day of the sweep, whenever that is."""
-    from lab.sweep import _one
-
-    if cell.seed == 1:
-        os.kill(os.getpid(), signal.SIGKILL)
-    return _one(cell, folder)
-
-
 def test_one_day_that_kills_does_not_keep_the_others_from_all_workers(tmp_path: Path) -> None:
     text = GOOD.replace("seeds = [1, 2]", f"seeds = {list(range(1, 13))}").replace("[0.3, 0.6]", "[0.3]")
     wanted = [cell for cell in cells(load(written(tmp_path, text), NAMES)) if cell.policy == "p2c"]
@@ -255,6 +224,6 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(Sweep, "play", counted)
         with pytest.raises(SweepError, match="seed=1: its process was killed"):
-            list(sweep(wanted, tmp_path / "r", 2, task=_kill_first))
+            list(sweep(wanted, tmp_path / "r", 2, task=kill_first))
     assert len(list((tmp_path / "r").glob("*.json"))) == 11
     assert rounds.count(1) <= 3  # only the last few were played alone
