--- a/badgercart/bans/ledger.py
+++ b/badgercart/bans/ledger.py
@@ -45,7 +45,7 @@
     def known(self, name: str) -> bool:
         return name in self.state.names or name in self.lines
 
-    def amend(self, member: Member) -> Member:
+    def amend(self, member: Member, version: int = 0) -> Member:
         """What the node is told of a server in place of this line of the list."""
         name, entry = member.name, member.entry
         if entry.state is Listed.GONE:
--- a/badgercart/capture/codec.py
+++ b/badgercart/capture/codec.py
@@ -25,6 +25,7 @@
     Action,
     Began,
     Cancel,
+    Company,
     Diverted,
     Event,
     Fail,
@@ -55,7 +56,7 @@
 # The numbers stand in files: a new one is added at the end, none is ever used again.
 EVENTS: tuple[type, ...] = (
     ServerList, Request, Began, Outcome, Diverted, Resume, ProbeResult, Timer, PeerMessage, Withdrawn,
-    Whole, Retuned,
+    Whole, Retuned, Company,
 )  # fmt: skip
 ACTIONS: tuple[type, ...] = (Send, Refuse, Fail, Cancel, Wake, Probe, Subscribe, Log)
 _EVENT_NUMBERS = {kind: number for number, kind in enumerate(EVENTS)}
@@ -140,12 +141,17 @@
     return Retuned(decode_settings(settings), frozenset(live), frozenset(fresh))
 
 
+def _company(size: int, me: int, may_live: int, parts: list[float], hearsay: list[list[Any]]) -> Company:
+    return Company(size, me, may_live, tuple(parts), tuple((server, level) for server, level in hearsay))
+
+
 _READ: dict[type, Callable[..., Any]] = {
     ServerList: _server_list,
     Request: _request,
     Outcome: _outcome,
     Diverted: _diverted,
     Retuned: _retuned,
+    Company: _company,
 }
 
 
--- a/badgercart/capture/explain.py
+++ b/badgercart/capture/explain.py
@@ -53,7 +53,8 @@
         draw = self.random.random()
         self.random.setstate(state)
         settings, group, beyond = self.settings, request.cls, ""
-        quota = settings.quotas[request.tenant] / settings.group_size if settings.quotas else float("inf")
+        tenant = request.tenant
+        quota = settings.quotas[tenant] / self.divisors[tenant] if settings.quotas else float("inf")
         if settings.quotas and self.quota_used[request.tenant] > quota:
             group, beyond = group + len(settings.classes), ", beyond its tenant's share"
         low, width = self.bands[group]
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -285,8 +285,10 @@
         on_end: OnEnd,
         on_begin: OnBegin = held_only,
         room: Room | None = None,
+        source: str | None = None,  # the address that connections set out from
     ) -> None:
         self.loop = loop
+        self.local = (source, 0) if source else None
         self.dial_timeout = dial_timeout
         self.idle_limit = IdleLimit(idle_timeout)
         self.max_connections = max_connections
@@ -376,7 +378,7 @@
         connection = ServerConnection(self, server)
         try:
             async with asyncio.timeout(self.dial_timeout / 1000):
-                await self.loop.create_connection(lambda: connection, *server.address)
+                await self.loop.create_connection(lambda: connection, *server.address, local_addr=self.local)
         except (OSError, UnicodeError):  # no connection in time, or an address that is none
             connection.exchange.unlink()
             self.end(attempt, Result.UNREACHABLE)
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -41,6 +41,7 @@
     inherited: int | None = None  # the descriptor of the listening socket that the platform holds
     memory_mb: float = 192.0  # that the process may take
     folder: Path | None = None  # shared by the processes of this node
+    source: str | None = None  # the address that connections set out from; None: the system's choice
     key_secret: bytes = b""  # by which requests' keys are hashed; the same at all nodes
 
     raw: dict[str, Any] = field(default_factory=dict, compare=False)  # the file
--- a/badgercart/core/roster.py
+++ b/badgercart/core/roster.py
@@ -48,7 +48,8 @@
         self.reader = reader
         self.join = join
         self.on_change: list[Callable[[Member], None]] = []
-        self.amend: Callable[[Member], Member] | None = None  # what is told of a server in place of its line
+        # What is told of a server in place of its line in a list of that version.
+        self.amend: Callable[[Member, int], Member] | None = None
         self.told = False  # whether any list has come
         self.suspended = False  # whether the list is too old to send anything by it
         self.version = 0  # of the list
@@ -66,14 +67,15 @@
     def apply(self, told: MemberList) -> None:
         """Take over a list or its changes, whole."""
         if self.amend is not None:
-            told = MemberList(told.kind, told.version, [self.amend(member) for member in told.members])
+            lines = [self.amend(member, told.version) for member in told.members]
+            told = MemberList(told.kind, told.version, lines)
         now = self.join.clock()
         if told.kind is not ListKind.DELTA:
             named = {member.entry.id for member in told.members}
             for server_id in self.listed.keys() - named:
                 gone = self.listed[server_id]
                 gone = replace(gone, entry=replace(gone.entry, state=State.GONE))
-                self.note(gone if self.amend is None else self.amend(gone), now)
+                self.note(gone if self.amend is None else self.amend(gone, told.version), now)
         for member in told.members:
             self.note(member, now)
         if told.members or told.kind is not ListKind.DELTA:
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -132,7 +132,12 @@
         room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
         self.carrier = GraphqlCarrier(join)
         self.pool = self.carrier.pool = ServerPool(
-            loop, config.dial_timeout, config.idle_timeout, room * 3 // 8, self.carrier.ended
+            loop,
+            config.dial_timeout,
+            config.idle_timeout,
+            room * 3 // 8,
+            self.carrier.ended,
+            source=config.source,
         )
         roster.on_change.append(self.pool.update)
         self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read, bad_request)
--- a/badgercart/membership/catalog.py
+++ b/badgercart/membership/catalog.py
@@ -56,9 +56,14 @@
     """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
 
     def __init__(
-        self, address: Address, on_list: Callable[[dict[str, Any]], int], rng: random.Random
+        self,
+        address: Address,
+        on_list: Callable[[dict[str, Any]], int],
+        rng: random.Random,
+        source: str | None = None,  # the address that connections set out from
     ) -> None:
         self.address = address
+        self.local = (source, 0) if source else None
         self.on_list = on_list
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
@@ -103,7 +108,7 @@
     async def call(self, path: str, whole: bool) -> None:
         host, port = self.address
         async with asyncio.timeout(CALL_TIME):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await asyncio.open_connection(host, port, local_addr=self.local)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
             body = Body()
--- a/badgercart/membership/part.py
+++ b/badgercart/membership/part.py
@@ -43,7 +43,9 @@
     """Follows the platform's catalog; SIGHUP moves it to another address."""
 
     def __init__(self, host: Host, address: Pair) -> None:
-        self.discovery = Discovery(address, host.roster.take, random.Random(host.config.seed))
+        self.discovery = Discovery(
+            address, host.roster.take, random.Random(host.config.seed), host.config.source
+        )
 
     async def start(self) -> None:
         self.discovery.start()
--- a/badgercart/operator/base.py
+++ b/badgercart/operator/base.py
@@ -4,6 +4,7 @@
 
 import secrets
 from collections.abc import Iterator
+from ipaddress import ip_address
 from typing import Annotated, Any, Literal
 
 from pydantic import Field
@@ -26,6 +27,9 @@
     sockets: int = Field(1024, ge=64, le=1_000_000, description="descriptors that the process may hold")
     number: int = Field(0, ge=0, le=65535, description="its number among the nodes, from 0")
     nodes: int = Field(1, ge=1, le=65536, description="how many nodes share the fleet")
+    source: Name | None = Field(
+        None, description="the address that its connections set out from, where the machine has several"
+    )
     key_secret: Name | None = Field(
         None,
         min_length=16,
@@ -140,6 +144,11 @@
         yield ("node", "number"), "is not below node.nodes"
     if node.default_tenant is not None and node.default_tenant not in {t.name for t in base.tenant}:
         yield ("node", "default_tenant"), f"{node.default_tenant!r} is no [[tenant]]"
+    if node.source is not None:
+        try:
+            ip_address(node.source)
+        except ValueError:
+            yield ("node", "source"), f"{node.source!r} is no IP address"
     try:
         int(node.seed or "0", 16)
     except ValueError:
@@ -191,6 +200,7 @@
         dial_timeout=fleet.dial_timeout_ms,
         idle_timeout=fleet.idle_ms,
         drain_grace=fleet.drain_grace_ms,
+        source=node.source,
         key_secret=node.key_secret.encode()[:64] if node.key_secret else b"",
         default_tenant=node.default_tenant.encode() if node.default_tenant else None,
     )
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -12,6 +12,7 @@
     "badgercart.capture.part",
     "badgercart.learning.part",
     "badgercart.metrics.part",
+    "badgercart.peers.part",
     "badgercart.membership.part",
     "badgercart.membership.etcd.part",
     "badgercart.fronts.http.part",
--- /dev/null
+++ b/badgercart/peers/commands.py
@@ -0,0 +1,105 @@
+"""`badgercart peers`: what a node believes of the others, and why.
+
+Exit status: 0 done; 1 the node can't be asked, or knows no such name.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from typing import Any
+
+import click
+
+from badgercart.config import parse_address
+from badgercart.operator.console import show_table
+from badgercart.operator.exits import CommandError
+
+PATIENCE = 5.0  # s
+NODE = click.argument("node", metavar="HOST:PORT")
+
+
+def ask(node: str) -> dict[str, Any]:
+    """What a node's HTTP front says of its peers. Raises CommandError."""
+    try:
+        host, port = parse_address(node)
+        connection = http.client.HTTPConnection(host, port, timeout=PATIENCE)
+        connection.request("GET", "/_peers")
+        answer = connection.getresponse()
+        if answer.status != 200:
+            raise CommandError(f"{node}: answers {answer.status}; are peers switched on there?")
+        told: dict[str, Any] = json.loads(answer.read())
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        raise CommandError(f"{node}: {error}") from None
+    return told
+
+
+def show(told: dict[str, Any]) -> None:
+    back = ", stands back for another process of its name" if told["stands_back"] else ""
+    click.echo(f"{told['name']}: {told['live']} of {told['may_live']} in reach, {told['level']}{back}")
+    columns = ("name", "status", "zone", "region", "address", "incarnation", "since_s", "word", "accuser")
+    show_table(columns, [tuple(str(member[name]) for name in columns) for member in told["members"]])
+
+
+@click.group()
+def peers() -> None:
+    """Look into what a node knows of the others; HOST:PORT is that of its HTTP front."""
+
+
+@peers.command("list")
+@NODE
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+def list_(node: str, as_json: bool) -> None:
+    """Who is there, who has failed, and how much of the group the node can vouch for."""
+    told = ask(node)
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        show(told)
+
+
+@peers.command()
+@NODE
+@click.option("--every", default=1.0, show_default=True, type=click.FloatRange(0.1, 3600), help="Seconds.")
+@click.option("--times", default=0, type=click.IntRange(0), help="Looks to take [until interrupted].")
+def watch(node: str, every: float, times: int) -> None:
+    """Each change of what the node believes, as it comes."""
+    last, looks = "", 0
+    while not times or looks < times:
+        if looks:
+            time.sleep(every)
+        looks += 1
+        for change in ask(node)["changes"]:
+            if hlc(change) > hlc({"hlc": last}):
+                last = change["hlc"]
+                click.echo(worded(change))
+
+
+def hlc(change: dict[str, Any]) -> tuple[int, ...]:
+    return tuple(int(part) for part in change["hlc"].split(".")) if change["hlc"] else (0, 0)
+
+
+def worded(change: dict[str, Any]) -> str:
+    blamed = f", first accused by {change['accuser']}" if change["accuser"] else ""
+    return (
+        f"{change['hlc']}  {change['peer']} {change['status']} by the word of {change['word']}{blamed} "
+        f"(incarnation {change['incarnation']})"
+    )
+
+
+@peers.command()
+@NODE
+@click.argument("name")
+def why(node: str, name: str) -> None:
+    """Why the node believes of NAME what it does: every change it remembers, and by whose word."""
+    told = ask(node)
+    member = next((m for m in told["members"] if m["name"] == name), None)
+    if member is None:
+        raise CommandError(
+            f"{node} knows no {name}; known are {', '.join(m['name'] for m in told['members'])}"
+        )
+    click.echo(f"{name}: {member['status']} for {member['since_s']} s, by the word of {member['word']}")
+    for change in told["changes"]:
+        if change["peer"] == name:
+            click.echo(worded(change))
--- /dev/null
+++ b/badgercart/peers/settings.py
@@ -0,0 +1,94 @@
+"""What an operator may set of nodes that know each other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Annotated
+
+from pydantic import AfterValidator, Field, Strict
+
+from badgercart.operator.faults import Path
+from badgercart.operator.model import Address, Listed, Name, Names, Table
+from badgercart.operator.part import Checked
+from badgercart.peers.machine import Timing
+
+
+def _network(value: str) -> str:
+    import netaddr  # only where peers are on
+
+    try:
+        netaddr.IPNetwork(value)
+    except (netaddr.AddrFormatError, ValueError):
+        raise ValueError(f"{value!r} is no network such as 10.1.0.0/16") from None
+    return value
+
+
+Network = Annotated[Name, AfterValidator(_network)]
+
+
+class Place(Table):
+    """where the peers of a network are"""
+
+    network: Network = Field(description="the network, as 10.1.0.0/16")
+    zone: Name = Field("", description="their zone")
+    region: Name = Field("", description="their region")
+
+
+class PeersSettings(Table):
+    """nodes that know each other"""
+
+    listen: Address = Field(description="the host:port for datagrams and connections between nodes")
+    advertise: Address | None = Field(None, description="where others reach it, if not at `listen`")
+    group: Name = Field(max_length=64, description="the group's name; nodes of other groups are strangers")
+    secret: Name = Field(
+        min_length=16, max_length=256, description="the group's secret, by which its messages are known"
+    )
+    seeds: Annotated[tuple[Address, ...], Listed, Strict(False)] = Field(
+        (), max_length=64, description="members that a new one turns to"
+    )
+    allow: Annotated[tuple[Network, ...], Listed] = Field(
+        ("0.0.0.0/0",), min_length=1, max_length=256, description="networks that peers may be in"
+    )
+    place: Annotated[tuple[Place, ...], Listed] = Field(
+        (), max_length=256, description="zones and regions by network; the first that fits counts"
+    )
+    period_ms: float = Field(1000.0, ge=50, le=60_000, description="the time between two probes (ms)")
+    patience_ms: float = Field(
+        500.0, ge=10, le=60_000, description="the time for an answer before others are asked (ms)"
+    )
+    gossip_ms: float = Field(200.0, ge=10, le=60_000, description="the time between two rounds of news (ms)")
+    sync_s: float = Field(30.0, ge=1, le=3600, description="the time between two whole exchanges (s)")
+    retry_ms: float = Field(
+        2000.0, ge=50, le=3_600_000, description="the time between tries to reach one of the dead (ms)"
+    )
+    remember_s: float = Field(
+        600.0, ge=1, le=86_400, description="the time for which a silent member may live (s)"
+    )
+    share_ms: float = Field(500.0, ge=50, le=60_000, description="the time between two reports of use (ms)")
+    uses: Names = Field(
+        ("shares", "drains", "hearsay"), description="what is done with it: shares, drains, hearsay"
+    )
+
+    def timing(self) -> Timing:
+        return Timing(
+            period=self.period_ms,
+            patience=self.patience_ms,
+            gossip_every=self.gossip_ms,
+            sync_every=self.sync_s * 1000,
+            retry_every=self.retry_ms,
+            remember=self.remember_s * 1000,
+        )
+
+
+USES = ("shares", "drains", "hearsay")
+
+
+def check(settings: PeersSettings, file: Checked) -> Iterator[tuple[Path, str]]:
+    """What only several settings together can get wrong."""
+    if settings.patience_ms >= settings.period_ms:
+        yield ("patience_ms",), "is not below period_ms"
+    if settings.advertise is None and settings.listen[0] in ("0.0.0.0", "::"):
+        yield ("advertise",), "is missing: others can't reach an address that stands for all"
+    for at, use in enumerate(settings.uses):
+        if use not in USES:
+            yield ("uses", at), f"{use!r} is none of {', '.join(USES)}"
--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,135 @@
+"""Nodes that know each other: detection, false alarms, bytes and healing in virtual time, and what it costs.
+
+`python -m benchmarks.peers [--most N]`: groups of 3, 10, 40, 100, … to N, five seeds each of the small ones;
+then the processor time of one node's machine and codec at 100 peers as a share of a core, and the time of a
+decision with a company over that without, in one run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import statistics
+import time
+
+from badgercart.peers.view import Status
+from cottonhall import Policy, Settings
+from cottonhall.interface import (
+    Company,
+    Effect,
+    ListKind,
+    Outcome,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    ServerEntry,
+    ServerList,
+    State,
+)
+from lab.group import Group
+
+SIZES = (3, 10, 40, 100, 300, 1000)
+SETTLED = 10_000.0  # ms
+LONG = 60_000.0
+
+
+def joined(count: int, seed: int) -> Group:
+    group = Group(count, seed, expected=count)
+    group.run(LONG, group.agreed)
+    group.run(group.now + SETTLED)
+    return group
+
+
+def detection(count: int, seed: int) -> list[float]:
+    """ms from a death until each other node has buried it."""
+    group = joined(count, seed)
+    group.kill("n1")
+    died = group.now
+    group.run(died + LONG, lambda: group.buried("n1"))
+    first: dict[str, float] = {}
+    for seen in group.seen:
+        if seen.name == "n1" and seen.status is Status.DEAD and seen.at >= died:
+            first.setdefault(seen.observer, seen.at - died)
+    return list(first.values())
+
+
+def false_alarms(count: int, seed: int) -> tuple[int, int]:
+    """Healthy members buried, and any, in a minute in which one in ten nodes is slow."""
+    group = joined(count, seed)
+    slow = random.Random(seed).sample(list(group.machines), max(1, count // 10))
+    for name in slow:
+        group.slow[name] = 1500.0
+    since = group.now
+    group.run(since + LONG)
+    dead = {s.name for s in group.seen if s.status is Status.DEAD and s.at >= since}
+    return len(dead - set(slow)), len(dead)
+
+
+def rates(count: int, seed: int) -> tuple[float, float]:
+    """Bytes a node a second at rest, and ms to one view after a split of 30 s."""
+    group = joined(count, seed)
+    before = sum(group.bytes.values())
+    group.run(group.now + LONG)
+    rest = (sum(group.bytes.values()) - before) / count / (LONG / 1000)
+    names = list(group.machines)
+    group.split(names[: count // 2], names[count // 2 :])
+    group.run(group.now + 30_000)
+    group.heal()
+    healed = group.now
+    return rest, group.run(healed + 4 * LONG, group.agreed) - healed
+
+
+def cost(count: int = 100) -> float:
+    """Processor time of one node's machine and codec, as a share of a core."""
+    group = joined(count, 1)
+    begun, since = time.process_time(), group.now
+    group.run(since + 20_000)
+    # The simulation's own share is small beside: each packet is encoded once here; a node decodes it too.
+    return (time.process_time() - begun) / count / 20.0
+
+
+def decisions(company: bool) -> float:
+    """us a decision of a policy that hears of its company ten times a second, or of none."""
+    classes = (RequestClass(aim=400.0, deadline=1000.0, worth=1.0, effect=Effect.SAFE),)
+    policy = Policy(Settings(classes=classes, group_size=10, quotas=(1e6,)), 1)
+    entries = [ServerEntry(i + 1, 0, 0, 0, State.READY, 2.0, 0.0) for i in range(20)]
+    policy.handle(1.0, ServerList(ListKind.FULL, 1, entries))
+    now, told, begun = 1.0, 0.0, time.perf_counter()
+    for number in range(1, 20_001):
+        now += 1.0
+        if company and now - told >= 100.0:
+            told = now
+            policy.handle(now, Company(10, 3, 10, (0.1 + (number % 7) / 100,), ((1, 0.2),)))
+        for action in policy.handle(now, Request(number, 0, now + 1000)):
+            if isinstance(action, Send):
+                policy.handle(now + 0.5, Outcome(number, action.server, True, Result.OK, 0, 20.0))
+    return (time.perf_counter() - begun) / 20_000 * 1e6
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--most", type=int, default=100, help="the largest group (100)")
+    most = parser.parse_args().most
+    print(
+    names = ("nodes", "detect median s", "p99 s", "buried, healthy", "any", "bytes a node a s", "to one view s")
+    print("|", " | ".join(names), "|")
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- |")
+    for count in (size for size in SIZES if size <= most):
+        seeds = range(1, 6) if count <= 40 else (1,)
+        times = [t for seed in seeds for t in detection(count, seed)]
+        times.sort()
+        healthy, any_ = (sum(part) for part in zip(*(false_alarms(count, s) for s in seeds), strict=True))
+        rest, heal = (statistics.fmean(p) for p in zip(*(rates(count, s) for s in seeds), strict=True))
+        median, p99 = statistics.median(times) / 1000, times[int(0.99 * (len(times) - 1))] / 1000
+        row = (count, f"{median:.2f}", f"{p99:.2f}", healthy, any_, f"{rest:.0f}", f"{heal / 1000:.1f}")
+        print("|", " | ".join(map(str, row)), "|", flush=True)
+    print(f"machine and codec at 100 peers: {cost():.4f} of a core")
+    pairs = [(decisions(False), decisions(True)) for _ in range(5)]
+    without, with_ = (min(values) for values in zip(*pairs, strict=True))
+    print(f"a decision: {without:.1f} us without a company, {with_:.1f} us with one, {with_ / without:.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -271,6 +271,23 @@
     fresh: frozenset[int] = frozenset()  # classes that begin anew, also where another had their number
 
 
+@dataclass(slots=True)
+class Company:
+    """Which nodes share the fleet from now on, in place of the settings' `group_size` and `me`."""
+
+    size: int  # nodes that are taken to share it, this one among them
+    me: int  # this node's number among them
+    may_live: int  # these, and those that may only be cut off
+    parts: tuple[float, ...] = ()  # of each tenant's quota, ours; empty: one of `may_live`
+    hearsay: tuple[tuple[int, float], ...] = ()  # servers that others find failing, and how much, 0 to 1
+
+    def __post_init__(self) -> None:
+        _need(self.size >= 1, "size", self.size)
+        _need(0 <= self.me < self.size, "me", self.me)
+        _need(self.may_live >= self.size, "may_live", self.may_live)
+        _need(all(0 < part <= 1 for part in self.parts), "parts", self.parts)
+
+
 Event = (
     ServerList
     | Request
@@ -284,6 +301,7 @@
     | PeerMessage
     | Withdrawn
     | Retuned
+    | Company
 )
 
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -13,8 +13,8 @@
 
 from cottonhall.fleet import Level, Ring, Sizes
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Diverted, Effect, Event, Fail, Group, Known, ListKind,
-    Log, Outcome, Refuse, Request, RequestClass, Result, Resume, Retuned, Send, ServerEntry,
+    MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Company, Diverted, Effect, Event, Fail, Group, Known,
+    ListKind, Log, Outcome, Refuse, Request, RequestClass, Result, Resume, Retuned, Send, ServerEntry,
     ServerList, Settings, State, Subscribe, Timer, Wake, Whole, Withdrawn,
 )  # fmt: skip
 
@@ -25,6 +25,7 @@
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
 ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
 IN_FLIGHT_FROM, IN_FLIGHT_FULL = 1.0, 1.5  # overload begins and is 1 at these multiples of a fleet's need
+CROWDED = IN_FLIGHT_FULL  # one server with that multiple of its part is by itself in full overload
 BURST_FROM, BURST_FULL = 3.0, 6.0  # the same of attempts open now, for what comes all at once behind a pause
 IDLE_FADE, IDLE_NEED = 20.0, 8.0  # what was seen fades so much faster in a full cut on idle servers, if any
 ERROR_TIME, REACH = 4000.0, 33.0  # the error share looks back over so many ms and so many attempts
@@ -49,6 +50,7 @@
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 POINTS_AT_ONCE = 2048  # points that are placed on the ring with a list; of more, SLICE go with each event
 SLICE = 256
+HEARSAY = 0.3  # what others find failing counts for no more: less than one rests at
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
@@ -152,6 +154,7 @@
         self.ask_backoff = settings.ask_within / 40
         self.turns: dict[int, Turn] = {}  # by key
         self.moved: list[Turn] = []  # where the next may have its turn
+        self.company: Company | None = None  # None: as the settings say
         every = frozenset(range(len(settings.classes)))
         self.settle_terms(Retuned(settings, every, every))
 
@@ -177,6 +180,25 @@
                 server.health[i] = Health()
         self.quota_used = (self.quota_used + [0.0] * len(settings.quotas))[: len(settings.quotas)]
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
+        self.settle_company()
+
+    def settle_company(self) -> None:
+        """Go by who shares the fleet: as told, else as the settings say."""
+        told, settings = self.company, self.settings
+        size = settings.group_size
+        self.group = told or Company(size, settings.me, size)
+        parts = told.parts if told is not None else ()
+        same = len(parts) == len(settings.quotas)  # else they are of other settings
+        self.divisors = [1 / part for part in parts] if same else [self.group.may_live] * len(settings.quotas)
+
+    def on_company(self, event: Company) -> None:
+        self.company = event
+        self.settle_company()
+        for server_id, level in event.hearsay:
+            if (server := self.servers.get(server_id)) is not None:
+                for health in server.health:
+                    health.fails = max(health.fails, min(level, HEARSAY))
+        self.measure_fleet()
 
     def on_retuned(self, event: Retuned) -> None:
         self.settle_terms(event)
@@ -213,6 +235,8 @@
             self.on_began(event)
         elif isinstance(event, Retuned):
             self.on_retuned(event)
+        elif isinstance(event, Company):
+            self.on_company(event)
         elif isinstance(event, Timer):
             if event.token == SUBSCRIBE:
                 self.out.append(Subscribe())
@@ -237,7 +261,7 @@
         if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
             if not 0 <= tenant < len(settings.quotas):
                 raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
-            if self.quota_used[tenant] > settings.quotas[tenant] / settings.group_size:
+            if self.quota_used[tenant] > settings.quotas[tenant] / self.divisors[tenant]:
                 group += len(settings.classes)
             else:
                 self.quota_used[tenant] += 1
@@ -266,9 +290,8 @@
     def upkeep(self) -> None:
         passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
         self.upkeep_at = self.now
-        leak = passed / 1000 / self.settings.group_size
-        used = zip(self.quota_used, self.settings.quotas, strict=True)
-        self.quota_used = [max(0.0, count - quota * leak) for count, quota in used]
+        used = zip(self.quota_used, self.settings.quotas, self.divisors, strict=True)
+        self.quota_used = [max(0.0, count - quota * (passed / 1000 / by)) for count, quota, by in used]
         if self.now - self.halved_at >= SHARE_HALF:
             self.halved_at = self.now
             self.offered = [x / 2 for x in self.offered]
@@ -469,7 +492,7 @@
     def crowded(self, server: Server) -> bool:
         """Whether it holds so much over its part of the need that a fleet of its like would be overloaded."""
         part = self.need / self.warm * self.strength(server)  # a list may give no sizes
-        return len(server.open) * self.mean_strength >= IN_FLIGHT_FULL * part
+        return len(server.open) * self.mean_strength >= CROWDED * part
 
     def draw(self, key: int) -> Iterator[int]:
         """Server ids in the order to look at them."""
@@ -516,9 +539,9 @@
         # makes room for the next.
         begins = len(self.cold) > 0.9 * len(self.ready)
         size = server.entry.size if begins and 0.5 <= server.entry.size <= 8 else 1.0
-        if begins and (len(server.open) + 1) * self.settings.group_size <= size:
+        if begins and (len(server.open) + 1) * self.group.may_live <= size:
             return True
-        one = size / self.settings.group_size / max(self.usual)
+        one = size / self.group.may_live / max(self.usual)
         share = self.cold_share(server) * (1.0 if begins else COLD_SHARE)
         rate = share * max(self.carried, one) * len(self.ready) / self.span
         server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
@@ -753,8 +776,8 @@
         # knows what they hold, and they accept only so many connections. A group places keys alike.
         count = len(self.ready)
         sparse = self.need < SPARSE * count
-        groups = max(1, min(self.settings.group_size // NODES, count // FEW)) if sparse else 1
-        group = self.settings.me * groups // self.settings.group_size
+        groups = max(1, min(self.group.size // NODES, count // FEW)) if sparse else 1
+        group = self.group.me * groups // self.group.size
         self.start = group * count // groups
         self.span = max(1, (group + 1) * count // groups - self.start)
         self.ours = self.ready[self.start : self.start + self.span]
@@ -764,7 +787,7 @@
         strongest = [sizes.largest / pace[kind] / self.strongest for kind, sizes in kinds]
         self.strongest *= max(strongest, default=1.0) or 1.0  # a list may give no sizes
         size = sum(sizes.total for _, sizes in kinds) / max(1, count)  # 1 serves one at once
-        self.slots = (size if 0.5 <= size <= 8 else 1.0) / self.settings.group_size
+        self.slots = (size if 0.5 <= size <= 8 else 1.0) / self.group.size
         strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
         self.mean_strength = strength / max(1, count)
         if groups != 1 or self.groups != 1:
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -269,6 +269,53 @@
         )  # fmt: skip
 
 
+@cli.command("trial")
+@FILE
+@click.option("--results", type=click.Path(file_okay=False), help="Where records are kept [FILE.results].")
+def trial_(file: str, results: str | None) -> None:
+    """Play a trial: real nodes, servers and clients, a switch between them; exit 1 if a rule broke."""
+    import asyncio
+
+    from lab.trial.run import trial
+    from lab.trial.script import load
+
+    try:
+        wanted = load(file)
+    except FileError as error:
+        click.echo(str(error), err=True)
+        raise click.exceptions.Exit(Exit.USAGE) from None
+    told = asyncio.run(trial(wanted, results_of(file, results)))
+    click.echo(
+        f"{told['name']}: {told['requests']} requests, worth in time {told['worth']:.3f}, "
+        f"p50 {told['p50_ms']:.0f} ms, p99 {told['p99_ms']:.0f} ms"
+    )
+    rows = [(node, f"{worth:.3f}", str(told["exits"].get(node, "killed")))
+            for node, worth in told["worth_by_node"].items()]  # fmt: skip
+    show_table(("node", "worth in time", "exit"), rows)
+    click.echo(", ".join(f"{count} {outcome}" for outcome, count in sorted(told["outcomes"].items())))
+    for words in told["broken"]:
+        click.echo(words)
+    if told["broken"]:
+        raise click.exceptions.Exit(Exit.FAILED)
+
+
+@cli.command()
+@click.argument("results", type=click.Path(exists=True, file_okay=False), metavar="RESULTS")
+@click.option("--node", default="", help="Only what this node said.")
+@click.option("--about", default="", help="Only what is about this node or server.")
+def timeline(results: str, node: str, about: str) -> None:
+    """All nodes' events of a trial in one order that respects cause."""
+    from lab.trial.records import EVENTS, RecordsError, read
+    from lab.trial.timeline import lines
+
+    try:
+        rows = read(Path(results), EVENTS)
+    except RecordsError as error:
+        raise CommandError(str(error), Exit.USAGE) from None
+    for line in lines(rows, node, about):
+        click.echo(line)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run one command and give its exit status."""
     try:
--- /dev/null
+++ b/lab/trial/script.py
@@ -0,0 +1,256 @@
+"""What a trial's file says: its shape, and what befalls whom and when, by the model's words where it can."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Literal
+
+from pydantic import Field, ValidationError
+
+from badgercart.operator import document
+from badgercart.operator.faults import FileError, of_model, problem
+from badgercart.operator.locate import lines_of
+from badgercart.operator.model import Listed, Name, Names, Table
+from lab.settings import Share
+from lab.trial.world import LIST, Shape, World
+
+
+class TrialTable(Table):
+    """a trial of real processes"""
+
+    name: Name = Field(description="its name in tables and reports")
+    seconds: float = Field(10.0, ge=1, le=3600, description="how long requests come (s)")
+    nodes: int = Field(3, ge=1, le=200, description="node processes")
+    servers: int = Field(4, ge=1, le=1000, description="stand-in servers")
+    zones: Names = Field(
+        ("a", "b", "c"), min_length=1, description="zones; nodes and servers are spread over them"
+    )
+    cores: int = Field(8, ge=1, le=1024, description="requests that a server serves at once")
+    queue: int = Field(
+        16, ge=0, le=100_000, description="requests that wait at a server; more are turned away"
+    )
+    per_s: float = Field(100.0, gt=0, le=100_000, description="requests a second over all nodes")
+    quota: float = Field(1000.0, gt=0, le=1e6, description="all tenants' shares together (requests a second)")
+    cold_from: float = Field(0.3, ge=0.01, le=1, description="what a started server can do at first")
+    ramp_ms: float = Field(6000.0, ge=0, le=3_600_000, description="the time until it is warm (ms)")
+    peers: bool = Field(True, description="whether nodes know each other")
+    period_ms: float = Field(200.0, ge=50, le=60_000, description="the time between a node's probes (ms)")
+    seed: int = Field(1, ge=0, description="of requests, servers and the switch")
+
+    def shape(self) -> Shape:
+        return Shape(
+            self.nodes, self.servers, self.zones, self.cores, self.queue, self.quota, self.cold_from,
+            self.ramp_ms, self.peers, self.period_ms, seed=self.seed,
+        )  # fmt: skip
+
+
+class Befalls(Table):
+    """something that happens"""
+
+    kind: Literal[
+        "slow", "silent", "errors", "drain", "restart", "partition", "loss", "node_restart",
+        "freeze", "kill", "split", "one_way", "list_cut",
+    ] = Field(description="what happens")  # fmt: skip
+    at_s: float = Field(ge=0, le=3600, description="when it begins (s)")
+    for_s: float = Field(2.0, gt=0, le=3600, description="how long it lasts (s)")
+    share: Share = Field(
+        0.25, description="the part of the servers that it befalls; of the nodes for a split"
+    )
+    size: float = Field(4.0, ge=0, le=1000, description="slow: how many times slower")
+    chance: Share = Field(1.0, description="silent, errors, loss: the part of requests or datagrams")
+    zone: Name = Field("", description="partition: the zone that is cut off")
+    nodes: Annotated[tuple[Name, ...], Listed] = Field(
+        (), description="freeze, kill, list_cut, one_way: which"
+    )
+
+
+class TrialFile(Table):
+    """a trial's file"""
+
+    trial: TrialTable
+    trouble: Annotated[tuple[Befalls, ...], Listed] = Field((), description="what happens")
+
+
+def load(path: str) -> TrialFile:
+    """Read and check a trial's file. FileError names all that is wrong, by line and key."""
+    read = document.read(path, os.environ)
+    lines = lines_of(read.text)
+
+    def faults(found: list[tuple[tuple[str | int, ...], str]]) -> FileError:
+        return FileError(read.path, [problem(place, words, lines, read.origins) for place, words in found])
+
+    try:
+        file = TrialFile.model_validate(read.raw)
+    except ValidationError as error:
+        raise faults(list(of_model(error, TrialFile))) from None
+    wrong: list[tuple[tuple[str | int, ...], str]] = []
+    known = {f"n{number}" for number in range(file.trial.nodes)}
+    for at, trouble in enumerate(file.trouble):
+        if trouble.at_s + trouble.for_s > file.trial.seconds + 5:
+            wrong.append((("trouble", at, "for_s"), "lasts beyond the trial's end"))
+        if trouble.kind == "partition" and trouble.zone not in file.trial.zones:
+            wrong.append((("trouble", at, "zone"), f"{trouble.zone!r} is none of trial.zones"))
+        for place, name in enumerate(trouble.nodes):
+            if name not in known:
+                wrong.append(
+                    (("trouble", at, "nodes", place), f"{name!r} is none of n0 to n{len(known) - 1}")
+                )
+        if trouble.kind in ("freeze", "kill", "list_cut", "one_way", "node_restart") and not trouble.nodes:
+            wrong.append((("trouble", at, "nodes"), f"is missing: {trouble.kind} befalls nodes"))
+        if trouble.kind == "one_way" and len(trouble.nodes) != 2:
+            wrong.append((("trouble", at, "nodes"), "one_way takes two: from and to"))
+    if wrong:
+        raise faults(wrong)
+    return file
+
+
+# What each kind does. Each step may be awaited for, and none waits longer than what it starts.
+
+Step = Callable[[World, Befalls, list[str]], Awaitable[None]]
+
+
+async def slow(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].slowness *= told.size
+
+
+async def slow_end(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].slowness /= told.size
+
+
+async def silent(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].silent = told.chance
+
+
+async def errors(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].failing = told.chance
+
+
+async def well(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].silent = world.servers[name].failing = 0.0
+
+
+async def drain(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.drain(name)
+
+
+async def drain_end(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.servers[name].state = "active"
+        world.tell(world.servers[name])
+
+
+async def come_back(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in servers:
+        world.come_back(name)
+
+
+async def partition(world: World, told: Befalls, servers: list[str]) -> None:
+    inside, outside = world.zone(told.zone)
+    world.switch.between(inside, outside, cut=True)
+
+
+async def partition_end(world: World, told: Befalls, servers: list[str]) -> None:
+    inside, outside = world.zone(told.zone)
+    world.switch.between(inside, outside, cut=False)
+
+
+async def loss(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(list(world.nodes), list(world.nodes), loss=told.chance)
+
+
+async def loss_end(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(list(world.nodes), list(world.nodes), loss=0.0)
+
+
+async def kill(world: World, told: Befalls, servers: list[str]) -> None:
+    await asyncio.gather(*(world.kill(name) for name in told.nodes))
+
+
+async def start_again(world: World, told: Befalls, servers: list[str]) -> None:
+    await asyncio.gather(*(world.start_again(name) for name in told.nodes))
+
+
+async def freeze(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in told.nodes:
+        world.freeze(name)
+
+
+async def wake(world: World, told: Befalls, servers: list[str]) -> None:
+    for name in told.nodes:
+        world.wake(name)
+
+
+def halves(world: World, told: Befalls) -> tuple[list[str], list[str]]:
+    names = list(world.nodes)
+    place = max(1, round(told.share * len(names)))
+    return names[:place], names[place:]
+
+
+async def split(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(*halves(world, told), cut=True)
+
+
+async def split_end(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(*halves(world, told), cut=False)
+
+
+async def one_way(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.set(*told.nodes, cut=True)
+
+
+async def one_way_end(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.set(*told.nodes, cut=False)
+
+
+async def list_cut(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(list(told.nodes), [LIST], cut=True)
+
+
+async def list_cut_end(world: World, told: Befalls, servers: list[str]) -> None:
+    world.switch.between(list(told.nodes), [LIST], cut=False)
+
+
+STEPS: dict[str, tuple[Step, Step]] = {
+    "slow": (slow, slow_end),
+    "silent": (silent, well),
+    "errors": (errors, well),
+    "drain": (drain, drain_end),
+    "restart": (drain, come_back),
+    "partition": (partition, partition_end),
+    "loss": (loss, loss_end),
+    "node_restart": (kill, start_again),
+    "freeze": (freeze, wake),
+    "kill": (kill, start_again),
+    "split": (split, split_end),
+    "one_way": (one_way, one_way_end),
+    "list_cut": (list_cut, list_cut_end),
+}
+
+
+async def befall(world: World, told: Befalls, number: int) -> None:
+    """One trouble from its beginning to its end; whom it befalls is drawn by the seed and its place."""
+    rng = random.Random(f"{world.shape.seed} trouble {number}")
+    servers = sorted(rng.sample(list(world.servers), max(1, round(told.share * len(world.servers)))))
+    begin, end = STEPS[told.kind]
+    await asyncio.sleep(told.at_s)
+    await begin(world, told, servers)
+    await asyncio.sleep(told.for_s)
+    await end(world, told, servers)
+
+
+async def play(file: TrialFile, world: World) -> None:
+    """Requests and troubles, until both are over. Clients turn to the nodes that run."""
+    if file.trial.peers:
+        await world.group(file.trial.nodes)
+    troubles = [befall(world, told, number) for number, told in enumerate(file.trouble)]
+    traffic = world.traffic(file.trial.per_s, file.trial.seconds, file.trial.seed)
+    await asyncio.gather(traffic, *troubles)
--- /dev/null
+++ b/lab/trial/world.py
@@ -0,0 +1,275 @@
+"""One trial: real nodes, stand-in servers, a list and open-loop clients, all of them joined by the switch."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from lab.trial.processes import NodeProcess
+from lab.trial.switch import Switch
+from standins import http1
+from standins.catalog import Catalog
+from standins.server import DispatchServer
+from standins.traffic import KINDS, TENANTS, Arrival, Result, arrivals, ask
+
+WORK = {"cab-lookup": (5.0, 15.0), "ride-assign": (8.0, 20.0)}  # ms
+PEERS_PORT = 7946
+LIST, CLIENTS = "list", "clients"  # names on the switch
+
+
+@dataclass(slots=True, frozen=True)
+class Shape:
+    """What a trial is made of."""
+
+    nodes: int = 3
+    servers: int = 4
+    zones: tuple[str, ...] = ("a", "b", "c")  # of nodes and servers, in turn
+    cores: int = 8
+    queue: int = 16
+    quota: float = 1000.0  # requests a second of all tenants together
+    cold_from: float = 0.3
+    ramp_ms: float = 6000.0
+    peers: bool = True
+    period_ms: float = 200.0  # of the nodes' probes: quicker than in service, so that a trial is short
+    remember_s: float = 60.0
+    more: str = ""  # further lines of every node's file
+    seed: int = 1
+
+
+class Block:
+    """A block of loopback addresses, 127.N, that no other trial on this machine has at the time."""
+
+    def __init__(self) -> None:
+        for self.number in range(2, 255):
+            self.lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                self.lock.bind((f"127.{self.number}.255.254", PEERS_PORT))
+            except OSError:
+                self.lock.close()
+            else:
+                return
+        raise OSError("no block of loopback addresses is free")
+
+    def close(self) -> None:
+        self.lock.close()
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request, the node that it was sent to, and what came of it."""
+
+    node: str
+    sent: float  # s on the monotonic clock
+    result: Result
+
+
+@dataclass(slots=True)
+class Told:
+    """A server's line as the list wrote it: when first."""
+
+    server: str
+    state: str
+    at: float
+
+
+@dataclass(slots=True)
+class World:
+    """Everything of a trial, by name: nodes n0, n1, …, servers s-1, s-2, …"""
+
+    shape: Shape
+    folder: Path
+    switch: Switch = field(init=False)
+    block: Block = field(init=False)
+    nodes: dict[str, NodeProcess] = field(default_factory=dict)
+    servers: dict[str, DispatchServer] = field(default_factory=dict)
+    asked: list[Asked] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    catalog: Catalog = field(init=False)
+    began: float = 0.0
+    down: dict[str, list[list[float]]] = field(default_factory=dict)  # when nodes did not run: from, until
+
+    def __post_init__(self) -> None:
+        self.switch = Switch(self.shape.seed)
+        self.block = Block()
+
+    def address(self, kind: int, number: int) -> tuple[str, str]:
+        """What one sends from, and what the switch shows for it, in this trial's block of addresses."""
+        place = f"{kind * 32 + (number >> 8)}.{number & 255}"
+        shown = f"{128 + kind * 32 + (number >> 8)}.{number & 255}"
+        return f"127.{self.block.number}.{place}", f"127.{self.block.number}.{shown}"
+
+    async def start(self) -> World:
+        """All of it. What is up is put down again where something does not come up."""
+        try:
+            await self.start_all()
+        except BaseException:
+            await self.stop()
+            raise
+        self.began = time.monotonic()
+        return self
+
+    async def start_all(self) -> None:
+        shape = self.shape
+        for number in range(1, shape.servers + 1):
+            zone = shape.zones[number % len(shape.zones)]
+            server = DispatchServer(f"s-{number}", WORK, shape.cores, shape.queue, "k", zone, shape.seed)
+            server.host, shown = self.address(2, number)
+            await server.start()
+            await self.switch.add(server.name, (server.host, server.port), (shown, 0))
+            server.shown = "{}:{}".format(*self.switch.places[server.name].shown)
+            self.servers[server.name] = server
+        self.catalog = Catalog([server.entry() for server in self.servers.values()])
+        self.catalog.host, shown = self.address(1, 1)
+        await self.catalog.start()
+        await self.switch.add(LIST, (self.catalog.host, self.catalog.port), (shown, 0))
+        for number in range(shape.nodes):
+            real, shown = self.address(0, number + 1)
+            await self.switch.add(f"n{number}", (real, PEERS_PORT), (shown, PEERS_PORT))
+            file = self.folder / f"n{number}.toml"
+            file.write_text(self.file(number))
+            self.nodes[f"n{number}"] = NodeProcess(f"n{number}", file)
+        await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        await asyncio.gather(*(node.until("list.taken") for node in self.nodes.values()))
+
+    def file(self, number: int) -> str:
+        """A node's operator's file."""
+        shape, (real, shown) = self.shape, self.address(0, number + 1)
+        zone = shape.zones[number % len(shape.zones)]
+        zones = ", ".join(f'"{zone}"' for zone in shape.zones)
+        lines = [
+            f'[node]\nname = "n{number}"\nzone = "{zone}"\nseed = "{number:x}"',
+            f'source = "{real}"\nnumber = {number}\nnodes = {shape.nodes}',
+            f'[fleet]\nzones = [{zones}]\nkinds = ["k"]',
+            f"cold_from = {shape.cold_from}\nramp_ms = {shape.ramp_ms}",
+            "[retry]\nmax_attempts = 3\nmax_retry_after_ms = 600",
+            '[members]\ncatalog = "{}:{}"'.format(*self.switch.places[LIST].shown),
+            f'[fronts.http]\nlisten = "{real}:0"',
+        ]
+        for kind in KINDS:
+            lines += [
+                f'[[class]]\nname = "{kind.name}"\naim_ms = {kind.aim}\ndeadline_ms = {kind.deadline}',
+                f'worth = {kind.worth}\neffect = "{"keyed" if kind.keyed else "safe"}"',
+                "window_ms = 6000" if kind.keyed else "",
+            ]
+        for name, share in TENANTS.items():
+            lines.append(f'[[tenant]]\nname = "{name}"\nquota_per_s = {shape.quota * share:.3f}')
+        if shape.peers:
+            first = [self.address(0, at + 1)[1] for at in range(min(3, shape.nodes))]
+            seeds = ", ".join(f'"{host}:{PEERS_PORT}"' for host in first)
+            lines += [
+                f'[peers]\nlisten = "{real}:{PEERS_PORT}"\nadvertise = "{shown}:{PEERS_PORT}"',
+                f'group = "trial"\nsecret = "a secret of this trial"\nseeds = [{seeds}]',
+                f'allow = ["127.0.0.0/8"]\nperiod_ms = {shape.period_ms}',
+                f"patience_ms = {shape.period_ms / 2}",
+                f"gossip_ms = {shape.period_ms / 5}\nretry_ms = {2 * shape.period_ms}\nsync_s = 5.0",
+                f"remember_s = {shape.remember_s}\nshare_ms = 250.0",
+            ]
+        return "\n".join([*lines, shape.more]) + "\n"
+
+    async def stop(self) -> dict[str, int]:
+        """End all of it; gives the exit status of each node that still ran."""
+        running = [n for n in self.nodes.values() if n.process and n.process.returncode is None]
+        codes = await asyncio.gather(*(node.stop() for node in running))
+        if hasattr(self, "catalog"):
+            self.catalog.stop()
+        for server in self.servers.values():
+            server.stop()
+        self.switch.close()
+        self.block.close()
+        return {node.name: code for node, code in zip(running, codes, strict=True)}
+
+    # What befalls them.
+
+    def tell(self, server: DispatchServer) -> None:
+        """Have the list say what the server is now."""
+        self.catalog.change(server.entry())
+        self.told.append(Told(server.name, server.state, time.monotonic()))
+
+    def drain(self, name: str) -> None:
+        self.servers[name].state = "leaving"
+        self.tell(self.servers[name])
+
+    def come_back(self, name: str) -> None:
+        """Started anew, cold."""
+        server = self.servers[name]
+        server.state, server.started_at = "active", int(time.time() * 1000)
+        self.tell(server)
+
+    def zone(self, zone: str) -> tuple[list[str], list[str]]:
+        """Nodes and servers of a zone, and all others."""
+        zones = self.shape.zones
+        there = {name: zones[at % len(zones)] for at, name in enumerate(self.nodes)}
+        there |= {server.name: server.zone for server in self.servers.values()}
+        return [n for n, z in there.items() if z == zone], [n for n, z in there.items() if z != zone]
+
+    async def kill(self, name: str) -> None:
+        """SIGKILL."""
+        self.down.setdefault(name, []).append([time.monotonic(), math.inf])
+        await self.nodes[name].kill()
+
+    async def start_again(self, name: str) -> None:
+        """A killed one, by its name and address."""
+        await self.nodes[name].start()
+        self.down[name][-1][1] = time.monotonic()
+
+    def freeze(self, name: str) -> None:
+        """SIGSTOP."""
+        self.down.setdefault(name, []).append([time.monotonic(), math.inf])
+        self.nodes[name].freeze()
+
+    def wake(self, name: str) -> None:
+        self.nodes[name].wake()
+        self.down[name][-1][1] = time.monotonic()
+
+    def split(self, *parts: list[str]) -> None:
+        """Cut these groups of names from each other."""
+        for at, part in enumerate(parts):
+            for other in parts[at + 1 :]:
+                self.switch.between(part, other, cut=True)
+
+    def marks(self) -> dict[str, int]:
+        """A moment in what each node has said, for `level`."""
+        return {name: len(node.events) for name, node in self.nodes.items()}
+
+    async def level(self, level: str, names: list[str], since: dict[str, int]) -> None:
+        """Until each of these nodes has said, since a moment, that it stands there."""
+        waits = (
+            self.nodes[n].until("peers.level", lambda told: told["standing"] == level, since[n])
+            for n in names
+        )
+        await asyncio.gather(*waits)
+
+    async def group(self, size: int, among: list[str] | None = None) -> None:
+        """Until each of these nodes has so many in reach."""
+        names = among or list(self.nodes)
+        await asyncio.gather(
+            *(self.nodes[name].until("peers.level", lambda told: told["live"] == size) for name in names)
+        )
+
+    # Clients.
+
+    async def traffic(
+        self, rate: float, seconds: float, seed: int = 1, nodes: list[str] | None = None
+    ) -> None:
+        """Requests at seeded times, whatever came of those before, over those of these nodes that run."""
+        names = nodes or list(self.nodes)
+        connections, start = http1.Connections(), time.monotonic()
+        asking: list[asyncio.Task[None]] = []
+        for number, arrival in enumerate(arrivals(seed, rate, seconds)):
+            await asyncio.sleep(max(0.0, start + arrival.at - time.monotonic()))
+            running = [n for n in names if all(until < math.inf for _, until in self.down.get(n, ()))]
+            if not running:
+                continue
+            name = running[number % len(running)]
+            asking.append(asyncio.ensure_future(self.ask(name, arrival, connections)))
+        await asyncio.gather(*asking)
+        connections.close()
+
+    async def ask(self, name: str, arrival: Arrival, connections: http1.Connections) -> None:
+        sent = time.monotonic()
+        result = await ask(self.nodes[name].front, arrival, connections)
+        self.asked.append(Asked(name, sent, result))
--- a/standins/catalog.py
+++ b/standins/catalog.py
@@ -21,14 +21,14 @@
         self.watches: set[asyncio.StreamWriter] = set()
         self.told: dict[tuple[str, str], float] = {}  # (instance, lifecycle): when it was written first
         self.silent = False
-        self.port = 0
+        self.host, self.port = "127.0.0.1", 0
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return f"{self.host}:{self.port}"
 
     async def start(self) -> Catalog:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, self.host, 0)
         self.port = self.server.sockets[0].getsockname()[1]
         self.beat = asyncio.get_running_loop().create_task(self.heartbeat())
         return self
--- a/standins/server.py
+++ b/standins/server.py
@@ -27,6 +27,7 @@
     key: str  # its idempotency key
     target: str
     at: float  # s on the monotonic clock
+    source: str = ""  # the address that it came from
 
 
 class DispatchServer:
@@ -56,11 +57,12 @@
         self.effects: Counter[str] = Counter()  # by idempotency key
         self.done: dict[str, float] = {}  # keys and when they had their effect
         self.writers: set[asyncio.StreamWriter] = set()
-        self.port = 0
+        self.host, self.port = "127.0.0.1", 0
+        self.shown = ""  # the address in the list, where that is another
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.port}"
+        return self.shown or f"{self.host}:{self.port}"
 
     def entry(self, state: str | None = None) -> dict[str, Any]:
         """Its line of the server list."""
@@ -76,7 +78,7 @@
         }
 
     async def start(self, port: int = 0) -> DispatchServer:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.server = await asyncio.start_server(self.serve, self.host, port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -88,18 +90,19 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
+        source = str(writer.get_extra_info("peername")[0])
         try:
             while True:
-                writer.write(await self.answer(await http1.read_message(reader)))
+                writer.write(await self.answer(await http1.read_message(reader), source))
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, request: http1.Message) -> bytes:
+    async def answer(self, request: http1.Message, source: str = "") -> bytes:
         name, key = request.headers.get("request-id", ""), request.headers.get("idempotency-key", "")
-        self.seen.append(Seen(name, key, request.start[1], time.monotonic()))
+        self.seen.append(Seen(name, key, request.start[1], time.monotonic(), source))
         if not name:
             return http1.answer(404)
         if self.draining or self.held >= self.cores + self.queue:
--- /dev/null
+++ b/tests/trial/test_peers.py
@@ -0,0 +1,168 @@
+"""Real nodes that know each other, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from badgercart.peers.commands import ask
+from lab.trial.checkers import broken
+from lab.trial.world import Shape, World
+
+GRACE = 0.5  # s
+
+
+def trial(folder: Path, shape: Shape, script: Callable[[World], Awaitable[None]]) -> World:
+    """Play a script on a world; afterwards no rule may be broken, and every node must end by SIGTERM."""
+
+    async def run() -> World:
+        world = await World(shape, folder).start()
+        try:
+            await script(world)
+        finally:
+            codes = await world.stop()
+        assert set(codes.values()) <= {0}, codes
+        return world
+
+    world = asyncio.run(run())
+    assert broken(world) == []
+    failures = [e for node in world.nodes.values() for e in node.events if e["event"] == "library.message"]
+    assert not failures, failures[:3]
+    return world
+
+
+def test_halves_are_cut_apart_under_traffic_with_a_drain_told_to_one_and_heal(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        few, many = ["n0", "n1"], ["n2", "n3", "n4"]
+        await world.group(5)
+        traffic = asyncio.ensure_future(world.traffic(120, 6.0))
+        mark = world.marks()
+        world.split(few, many)
+        await world.level("some", few, mark)
+        await world.level("most", many, mark)
+        world.switch.between(few, ["list"], cut=True)  # they hear nothing of what follows
+        world.drain("s-1")
+        mark = world.marks()
+        world.switch.between(few, many, cut=False)
+        await asyncio.gather(*(world.nodes[n].until("peers.drained", since=mark[n]) for n in few))
+        rumoured = time.monotonic()
+        await world.level("whole", list(world.nodes), mark)
+        await traffic
+        sources = {world.switch.places[name].shown[0] for name in few}
+        late = [s for s in world.servers["s-1"].seen if s.source in sources and s.at > rumoured + GRACE]
+        assert late == []
+        assert any(s.source in sources for s in world.servers["s-1"].seen)
+
+    trial(tmp_path, Shape(nodes=5), script)
+
+
+def test_one_frozen_for_long_is_buried_and_wakes_into_a_world_that_goes_on(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(4)
+        traffic = asyncio.ensure_future(world.traffic(80, 8.0, nodes=["n1", "n2", "n3"]))
+        node, mark = world.nodes["n0"], world.marks()
+        world.freeze("n0")
+        buried = (
+            world.nodes[n].until(
+                "peers.changed", lambda e: e["peer"] == "n0" and e["status"] == "dead", mark[n]
+            )
+            for n in ("n1", "n2", "n3")
+        )
+        await asyncio.gather(*buried)
+        mark = world.marks()
+        world.wake("n0")
+        await node.until("peers.paused", since=mark["n0"])
+        await world.level("whole", list(world.nodes), mark)
+        await traffic
+        # It accused nobody for its own silence.
+        later = [e for n in world.nodes for e in world.nodes[n].events[mark[n] :]]
+        assert not [e for e in later if e["event"] == "peers.changed" and e["status"] == "dead"]
+
+    trial(tmp_path, Shape(nodes=4), script)
+
+
+def test_one_killed_is_back_by_its_name_within_its_suspicion_and_nobody_is_confused(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(4)
+        mark = world.marks()
+        await world.kill("n3")
+        await world.nodes["n0"].until("peers.changed", lambda e: e["peer"] == "n3", mark["n0"])
+        await world.start_again("n3")
+        await world.nodes["n3"].until("peers.level", lambda e: e["standing"] == "whole")
+        await world.nodes["n0"].until(
+            "peers.changed", lambda e: e["peer"] == "n3" and e["status"] == "alive", mark["n0"]
+        )
+        assert not [e for node in world.nodes.values() for e in node.events if e["event"] == "peers.conflict"]
+
+    trial(tmp_path, Shape(nodes=4), script)
+
+
+def test_a_lossy_network_buries_nobody_and_one_that_is_killed_all_the_same(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(4)
+        world.switch.between(
+            list(world.nodes), list(world.nodes), loss=0.3, twice=0.1, reorder=0.1, jitter_ms=5
+        )
+        mark = world.marks()
+        await world.traffic(60, 4.0)
+        await world.kill("n3")
+        await asyncio.gather(
+            *(
+                world.nodes[n].until(
+                    "peers.changed", lambda e: e["peer"] == "n3" and e["status"] == "dead", mark[n]
+                )
+                for n in ("n0", "n1", "n2")
+            )
+        )
+
+    trial(tmp_path, Shape(nodes=4), script)
+
+
+def test_a_flood_of_what_is_not_theirs_costs_no_request(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(3)
+        target = world.switch.places["n0"].real
+        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stranger.bind(("127.1.99.1", 0))
+        stranger.setblocking(False)
+        junk = [b"x", b"bc\x01" + bytes(60), b"bc\x07" + bytes(60), bytes(1600)]
+
+        async def flood() -> int:
+            sent = 0
+            while True:
+                for _ in range(200):
+                    try:
+                        sent += stranger.sendto(junk[sent % 4], target) > 0
+                    except BlockingIOError:
+                        break
+                await asyncio.sleep(0.002)
+
+        flooding = asyncio.ensure_future(flood())
+        await world.traffic(100, 3.0)
+        flooding.cancel()
+        stranger.close()
+        outcomes = [asked.result.outcome for asked in world.asked]
+        assert outcomes.count("served") == len(outcomes) > 200
+
+    world = trial(tmp_path, Shape(nodes=3), script)
+    kinds = {e["kind"] for e in world.nodes["n0"].events if e["event"] == "peers.refused"}
+    assert kinds & {"stray", "forged", "version", "oversized"}
+
+
+def test_what_one_node_does_not_use_of_a_share_another_may_and_lies_take_no_more(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(3)
+        await world.traffic(110, 3.0, nodes=["n0"])
+        told = await asyncio.to_thread(ask, world.nodes["n0"].front)
+        assert (
+            told["level"] == "whole" and sum(told["parts"]) / len(told["parts"]) > 0.6
+        )  # a third of it without peers
+        other = await asyncio.to_thread(ask, world.nodes["n1"].front)
+        assert sum(other["parts"]) / len(other["parts"]) < 0.3
+        changes = {change["peer"] for change in told["changes"]}
+        assert changes == {"n1", "n2"} and len(told["members"]) == 3
+
+    trial(tmp_path, Shape(nodes=3, quota=100.0), script)
--- /dev/null
+++ b/tests/trial/test_script.py
@@ -0,0 +1,83 @@
+"""A trial's file is checked by line, played by real processes, and read back in an order that respects cause."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from badgercart.operator.faults import FileError
+from lab.__main__ import main
+from lab.trial import records
+from lab.trial.script import STEPS, Befalls, load
+from lab.trial.timeline import ordered
+
+GOOD = """[trial]
+name = "small"
+seconds = 3
+nodes = 3
+per_s = 60
+[[trouble]]
+kind = "kill"
+at_s = 1
+for_s = 1
+nodes = ["n2"]
+"""
+
+
+def written(folder: Path, text: str) -> str:
+    path = folder / "trial.toml"
+    path.write_text(text)
+    return str(path)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "words"),
+    [
+        ("seconds = 3", "secs = 3", 3, "secs: is not known here"),
+        ("nodes = 3", "nodes = 0", 4, "is not within 1 to 200"),
+        ('kind = "kill"', 'kind = "kil"', 7, "'kil' is none of slow"),
+        ("at_s = 1", "at_s = 30", 9, "lasts beyond the trial's end"),
+        ('nodes = ["n2"]', 'nodes = ["n3"]', 10, "'n3' is none of n0 to n2"),
+        ('nodes = ["n2"]', "", 6, "kill befalls nodes"),
+        ('kind = "kill"', 'kind = "one_way"', 10, "one_way takes two"),
+        ('kind = "kill"', 'kind = "partition"\nzone = "x"', 8, "'x' is none of trial.zones"),
+    ],
+)
+def test_a_wrong_file_is_told_by_line(
+    tmp_path: Path, old: str, new: str, line: int, words: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = written(tmp_path, GOOD.replace(old, new, 1))
+    with pytest.raises(FileError) as caught:
+        load(path)
+    assert words in str(caught.value) and f"line {line}" in str(caught.value), str(caught.value)
+    assert main(["trial", path]) == 2 and words in capsys.readouterr().err
+
+
+def test_every_word_has_its_steps() -> None:
+    words = Befalls.model_fields["kind"].annotation
+    assert set(STEPS) == set(words.__args__)  # type: ignore[union-attr]
+
+
+def test_a_trial_is_played_kept_and_shown(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path, kept = written(tmp_path, GOOD), tmp_path / "kept"
+    assert main(["trial", path, "--results", str(kept)]) == 0
+    assert "worth in time" in capsys.readouterr().out
+    asked = records.read(kept, records.REQUESTS)
+    tried = records.read(kept, records.ATTEMPTS)
+    assert len(asked) > 100 and {row["outcome"] for row in asked} <= {"served", "refused", "lost", "failed"}
+    assert {row["id"] for row in asked if row["outcome"] == "served"} <= {row["id"] for row in tried}
+    assert {row["node"] for row in tried} <= {"n0", "n1", "n2"}
+    rows = ordered(records.read(kept, records.EVENTS))
+    begun = next(i for i, row in enumerate(rows) if row["event"] == "peers.listening" and row["life"] == 2)
+    known = next(
+        i
+        for i, row in enumerate(rows)
+        if row["node"] != "n2" and i > begun and "n2 is alive" in row["message"]
+    )
+    assert begun < known  # nobody hears of a life before it begins
+    assert main(["timeline", str(kept), "--about", "n2", "--node", "n0"]) == 0
+    out = capsys.readouterr().out
+    assert "n2 is alive" in out and "n1" not in out.replace("word of n1", "")
+    (kept / records.EVENTS).write_bytes(b"junk")
+    assert main(["timeline", str(kept)]) == 2
