--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -111,10 +111,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--most", type=int, default=100, help="the largest group (100)")
     most = parser.parse_args().most
-    print(
-    names = ("nodes", "detect median s", "p99 s", "buried, healthy", "any", "bytes a node a s", "to one view s")
+    names = ("nodes", "detect median s", "p99 s", "buried, healthy", "any", "bytes a node a s", "one view s")
     print("|", " | ".join(names), "|")
-    )
     print("| --- | --- | --- | --- | --- | --- | --- |")
     for count in (size for size in SIZES if size <= most):
         seeds = range(1, 6) if count <= 40 else (1,)
--- a/tests/trial/test_script.py
+++ b/tests/trial/test_script.py
@@ -1,4 +1,4 @@
-"""A trial's file is checked by line, played by real processes, and read back in an order that respects cause."""
+"""A trial's file is checked by line, played by real processes, and read back in an order that keeps cause."""
 
 from __future__ import annotations
 
