Let the lab's model have nodes that know each other, by the same member as in a node

The uses stood in the part, beside its sockets: peers/member.py has them now without I/O, and lab/companions.py runs it on the model's clock and network (fleet.peers; fleet.said is what the files say there are). It holds for expect_s (60 s) now, after which what was seen counts; a node that begins in a split still goes by it.

--- a/badgercart/peers/machine.py
+++ b/badgercart/peers/machine.py
@@ -58,6 +58,9 @@
     sync_every: float = 30_000.0  # between push-pulls with a random member
     retry_every: float = 2000.0  # between tries to reach a dead member, or a seed while nobody is in reach
     remember: float = 600_000.0  # a dead member may live for so long, and is tried again
+    expect: float = (
+        60_000.0  # for so long from its start on a node goes by how many it was told that there are
+    )
 
 
 # Effects.
@@ -219,7 +222,7 @@
     def standing(self) -> Standing:
         """What the node can count on now."""
         # At first no more than the file's word tells how many there are; in time what was seen does.
-        expected = self.expected if self.now - self.began < self.timing.remember else 1
+        expected = self.expected if self.now - self.began < self.timing.expect else 1
         return standing(
             self.view, self.me.name, self.now, self.timing.remember, expected, self.stands_back or self.unsure
         )
--- /dev/null
+++ b/badgercart/peers/member.py
@@ -0,0 +1,91 @@
+"""One member of a group and all its uses: reports out, company for the policy. No I/O.
+
+The same in a node and in the lab's model. Effects are the machine's; posts that are news come by `heard`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from badgercart.core.roster import Member as Line
+from badgercart.peers.machine import Effect, Machine, Posted
+from badgercart.peers.uses import DRAINS, FAILING, USE, Hearsay, Rumours, Shares, company
+from cottonhall.interface import Company
+
+STALE = 4  # reports that a node may miss before it counts as one that wants its even part
+FADES = 10_000.0  # ms in which another's word of a failing server fades
+
+
+class Member:
+    """A machine, and the uses that are switched on."""
+
+    def __init__(
+        self, machine: Machine, quotas: Sequence[float], share_ms: float, uses: Iterable[str]
+    ) -> None:
+        self.machine, self.does = machine, frozenset(uses)
+        self.name = machine.me.name
+        self.share_ms = share_ms
+        self.shares = Shares(quotas, machine.me.boot, STALE * share_ms)
+        self.rumours, self.hearsay = Rumours(), Hearsay(FADES)
+        self.number = 0  # of our posts
+        self.out: dict[str, bytes] = {}  # what we have posted, by topic
+        self.told: Company | None = None
+        for topic in (USE, *DRAINS, FAILING):
+            machine.board.follow(topic)
+
+    @property
+    def every(self) -> float:
+        """ms between two reports: in a large group more, so that a link bears no more."""
+        return self.share_ms * max(1.0, len(self.machine.view.beliefs) / 16)
+
+    def post(self, now: float, topic: str, said: bytes) -> list[Effect]:
+        if self.out.get(topic) == said:
+            return []
+        self.out[topic] = said
+        # Larger than those of the process that had this name before.
+        self.number = max(self.number + 1, int(now + self.machine.offset))
+        return self.machine.post(now, topic, self.number, said)
+
+    def report(self, now: float, failing: dict[int, float]) -> list[Effect]:
+        """What others are told of our use, and of the servers that we find failing."""
+        effects: list[Effect] = []
+        if "shares" in self.does:
+            effects += self.post(now, USE, self.shares.report(now))
+        if "hearsay" in self.does:
+            effects += self.post(now, FAILING, self.hearsay.report(failing))
+        return effects
+
+    def drains(self, now: float, version: int, lines: Iterable[Line]) -> list[Effect]:
+        """Our own list, of that version now, has other lines of these servers."""
+        for line in lines:
+            self.rumours.note(line, version, now)
+        effects: list[Effect] = []
+        for topic, said in zip(DRAINS, self.rumours.posts(now), strict=False):
+            effects += self.post(now, topic, said)
+        return effects
+
+    def heard(
+        self, now: float, post: Posted, version: int = 0, listed: dict[int, Line] | None = None
+    ) -> list[Line]:
+        """Take over another's post; gives the lines of our list that are otherwise now."""
+        if post.topic == USE:
+            self.shares.take(post.author, post.said, now)
+        elif post.topic == FAILING:
+            self.hearsay.take(post.author, post.said, now)
+        elif post.topic in DRAINS and "drains" in self.does and listed is not None:
+            return self.rumours.take(post.said, version, listed)
+        return []
+
+    def company(self, now: float) -> Company | None:
+        """What the policy has to be told; None where it knows."""
+        standing = self.machine.standing()
+        names = [name for name in standing.live if name != self.name]
+        self.shares.keep(names)
+        self.hearsay.keep(names)
+        parts = self.shares.parts(self.name, standing, now) if "shares" in self.does else ()
+        hearsay = self.hearsay.levels(names, now) if "hearsay" in self.does else ()
+        event = company(self.name, standing, parts, hearsay)
+        if event == self.told:
+            return None
+        self.told = event
+        return event
--- a/badgercart/peers/part.py
+++ b/badgercart/peers/part.py
@@ -12,20 +12,17 @@
 from typing import TYPE_CHECKING, Any
 
 from badgercart.core.ports import Final, Intake
-from badgercart.core.roster import Member
+from badgercart.core.roster import Member as Line
 from badgercart.fronts.http.requests import Page
 from badgercart.operator.part import Declaration, Host, Kind
 from badgercart.peers import events
 from badgercart.peers.settings import PeersSettings, check
-from cottonhall.interface import Company
 
 if TYPE_CHECKING:
-    from badgercart.peers.machine import Effect
+    from badgercart.peers.machine import Effect, Posted
     from badgercart.peers.view import Belief
 
 MAX_TOLD = 512  # changes that `peers why` looks back on
-STALE = 4  # reports that a node may miss before it counts as one that wants its even part
-FADES = 10_000.0  # ms in which another's word of a failing server fades
 
 
 def place_of(settings: PeersSettings, host: str) -> tuple[str, str]:
@@ -44,7 +41,7 @@
     def __init__(self, host: Host, settings: PeersSettings) -> None:
         from badgercart.peers.driver import Allowed, Driver
         from badgercart.peers.machine import Machine
-        from badgercart.peers.uses import DRAINS, FAILING, USE, Hearsay, Rumours, Shares
+        from badgercart.peers.member import Member
         from badgercart.peers.view import Claim, Status
         from badgercart.peers.wire import Codec
 
@@ -64,24 +61,17 @@
         codec = Codec(settings.group, settings.secret.encode())
         allowed = Allowed(settings.allow)
         self.driver = Driver(host.loop, clock, self.machine, codec, settings.listen, allowed, self.act)
-        self.shares = Shares(config.settings.quotas, boot, STALE * settings.share_ms)
-        self.rumours, self.hearsay = Rumours(), Hearsay(FADES)
-        self.topics = (USE, *DRAINS, FAILING)
-        for topic in self.topics:
-            self.machine.board.follow(topic)
-        self.does = frozenset(settings.uses)
+        self.member = Member(self.machine, config.settings.quotas, settings.share_ms, settings.uses)
+        does = self.member.does
         self.standing: dict[str, Any] = {}  # as it was said last
         self.told: deque[dict[str, Any]] = deque(maxlen=MAX_TOLD)
-        self.company: Company | None = None
-        self.lines: list[Member] = []  # that have changed since drains were told last
-        self.number = 0  # of our posts
-        self.posted: dict[str, bytes] = {}  # what is out of ours, by topic
+        self.lines: list[Line] = []  # that have changed since drains were told last
         self.timer: asyncio.TimerHandle | None = None
         host.pages[b"/_peers"] = Page(self.page)
-        if "drains" in self.does:
-            host.roster.amend = self.rumours.amend
+        if "drains" in does:
+            host.roster.amend = self.member.rumours.amend
             host.roster.on_change.append(self.on_line)
-        if "shares" in self.does:
+        if "shares" in does:
             host.join.observers += (self,)
         self.register()
 
@@ -125,7 +115,7 @@
             if isinstance(effect, Changed):
                 self.on_changed(effect.now)
             elif isinstance(effect, Posted):
-                self.on_post(effect.topic, effect.author, effect.said)
+                self.on_post(effect)
             elif isinstance(effect, Conflict):
                 does = "stands back" if effect.stands_back else "goes on"
                 events.CONFLICT(name=self.machine.me.name, does=does, boot=effect.boot, **self.stamp())
@@ -148,92 +138,56 @@
         self.told.append(fields | stamp)
         events.CHANGED(**fields, **stamp)
 
-    def on_post(self, topic: str, author: str, said: bytes) -> None:
-        from badgercart.peers.uses import DRAINS, FAILING, USE
-
-        now, roster = self.host.join.clock(), self.host.roster
-        if topic == USE:
-            self.shares.take(author, said, now)
-        elif topic == FAILING:
-            self.hearsay.take(author, said, now)
-        elif topic in DRAINS and "drains" in self.does:
-            members = self.rumours.take(said, roster.version, roster.listed)
-            for member in members:
-                events.DRAINED(server=member.name, author=author, **self.stamp())
-            if members:
-                roster.renew(members)
+    def on_post(self, post: Posted) -> None:
+        roster = self.host.roster
+        lines = self.member.heard(self.host.join.clock(), post, roster.version, roster.listed)
+        for line in lines:
+            events.DRAINED(server=line.name, author=post.author, **self.stamp())
+        if lines:
+            roster.renew(lines)
 
     # What is told to others.
 
-    def post(self, topic: str, said: bytes) -> None:
-        if self.posted.get(topic) != said:
-            self.posted[topic] = said
-            # Larger than those of the process that had this name before.
-            self.number = max(self.number + 1, int(time.time() * 1000))
-            self.driver.run(self.machine.post(self.host.join.clock(), topic, self.number, said))
-
-    def on_line(self, member: Member) -> None:
+    def on_line(self, member: Line) -> None:
         if not self.lines:
             self.host.loop.call_soon(self.tell_drains)
         self.lines.append(member)
 
     def tell_drains(self) -> None:
         """By now the roster knows by which version these lines hold."""
-        from badgercart.peers.uses import DRAINS
-
         lines, self.lines = self.lines, []
-        now, version = self.host.join.clock(), self.host.roster.version
-        for member in lines:
-            self.rumours.note(member, version, now)
-        posts = self.rumours.posts(now)
-        for topic, said in zip(DRAINS, posts, strict=False):
-            self.post(topic, said)
-        if over := self.rumours.over(version):
+        version = self.host.roster.version
+        self.driver.run(self.member.drains(self.host.join.clock(), version, lines))
+        if over := self.member.rumours.over(version):
             self.host.roster.renew(over)
 
     def over(
         self, request_id: int, intake: Intake, final: Final, took: float, server: int, sends: int
     ) -> None:
-        self.shares.count(intake.tenant)
+        self.member.shares.count(intake.tenant)
 
     def tick(self) -> None:
         """One round of reports, and of what follows from the others'."""
-        from badgercart.peers.uses import FAILING, USE
-
-        # Every node's report goes to every other: in a large group less often, so that a link bears no more.
-        nodes = max(1.0, len(self.machine.view.beliefs) / 16)
-        self.timer = self.host.loop.call_later(self.settings.share_ms * nodes / 1000, self.tick)
-        now, policy = self.host.join.clock(), self.host.join.policy
-        if "shares" in self.does:
-            self.post(USE, self.shares.report(now))
-        if "hearsay" in self.does:
-            failing = {
-                server_id: max(health.fails for health in policy.servers[server_id].health)
-                for server_id in policy.rested
-                if server_id in policy.servers
-            }
-            self.post(FAILING, self.hearsay.report(failing))
-        if "drains" in self.does:
+        self.timer = self.host.loop.call_later(self.member.every / 1000, self.tick)
+        policy = self.host.join.policy
+        failing = {
+            server_id: max(health.fails for health in policy.servers[server_id].health)
+            for server_id in policy.rested
+            if server_id in policy.servers
+        }
+        self.driver.run(self.member.report(self.host.join.clock(), failing))
+        if "drains" in self.member.does:
             self.tell_drains()
         self.tell()
 
     def tell(self) -> None:
         """Have the policy know its company, where that has changed."""
-        from badgercart.peers.uses import company
-
-        now, standing = self.host.join.clock(), self.machine.standing()
+        standing = self.machine.standing()
         told = {"standing": str(standing.level), "live": len(standing.live), "may_live": standing.may_live}
         if told != self.standing:
             self.standing = told
             events.LEVEL(**told, **self.stamp())
-        names = [name for name in standing.live if name != self.machine.me.name]
-        for kept in (self.shares, self.hearsay):
-            kept.keep(names)
-        parts = self.shares.parts(self.machine.me.name, standing, now) if "shares" in self.does else ()
-        hearsay = self.hearsay.levels(names, now) if "hearsay" in self.does else ()
-        event = company(self.machine.me.name, standing, parts, hearsay)
-        if event != self.company:
-            self.company = event
+        if (event := self.member.company(self.host.join.clock())) is not None:
             events.POSTED(size=event.size, may_live=event.may_live)
             self.host.join.tell(event)
 
@@ -263,8 +217,8 @@
             "unwell": machine.health.score,
             "stands_back": machine.stands_back,
             "members": members,
-            "parts": list(self.company.parts) if self.company else [],
-            "drained_by_rumour": len(self.rumours.known),
+            "parts": list(self.member.told.parts) if self.member.told else [],
+            "drained_by_rumour": len(self.member.rumours.known),
             "refused": dict(self.driver.refused),
             "bytes_out": self.driver.bytes_out,
             "changes": list(self.told),
--- a/badgercart/peers/settings.py
+++ b/badgercart/peers/settings.py
@@ -64,6 +64,12 @@
     remember_s: float = Field(
         600.0, ge=1, le=86_400, description="the time for which a silent member may live (s)"
     )
+    expect_s: float = Field(
+        60.0,
+        ge=0,
+        le=86_400,
+        description="the time from its start for which a node counts on as many as `node.nodes` says (s)",
+    )
     share_ms: float = Field(500.0, ge=50, le=60_000, description="the time between two reports of use (ms)")
     uses: Names = Field(
         ("shares", "drains", "hearsay"), description="what is done with it: shares, drains, hearsay"
@@ -77,6 +83,7 @@
             sync_every=self.sync_s * 1000,
             retry_every=self.retry_ms,
             remember=self.remember_s * 1000,
+            expect=self.expect_s * 1000,
         )
 
 
--- a/lab/model.py
+++ b/lab/model.py
@@ -12,11 +12,13 @@
 from badgercart.core.join import Join
 from badgercart.core.ports import Answer, Intake
 from badgercart.learning.ageing import aged
+from badgercart.peers.machine import Timing
 from cottonhall.interface import ListKind, ServerEntry, ServerList, State
 from cottonhall.memory import Memory, adopt, recall
 from lab.arrivals import Plan, plan
 from lab.chance import generator, jitter, uniform
 from lab.clock import Clock
+from lab.companions import Companions
 from lab.measure import STEP, Measure
 from lab.peers import OURS, make
 from lab.servers import Server, fleet
@@ -103,6 +105,8 @@
             age, settings = world.day.node.learned_age_s * 1000, self.join.policy.settings
             adopt(self.join.policy, aged(self.memory, age, settings))
         make(world.cell.policy, world.day, self.join, seed)
+        if world.companions is not None:
+            world.companions.start(self.number, self.zone, self.join)
         self.wire = Wire(world.net, self.zone, world.by_id)
         self.wire.join(self.join)
         self.wire.sent = self.sent
@@ -113,6 +117,8 @@
     def stop(self) -> None:
         """It dies: clients see their connections break."""
         self.up = False
+        if self.world.companions is not None:
+            self.world.companions.stop(self.number)
         if self.world.day.node.learned_age_s >= 0 and self.world.cell.policy == OURS:
             self.memory = recall(self.join.policy)
         self.wire.close()
@@ -185,6 +191,12 @@
         self.impatient = day.clients.impatient
         self.broken = 0  # times that a policy raised
         self.rows = self.asks()
+        self.companions: Companions | None = None
+        if day.fleet.peers and cell.policy == OURS:
+            said = day.fleet.said or day.fleet.nodes
+            chance = uniform(generator(seed, "companions"))
+            timing = Timing(expect=day.fleet.expect_s * 1000)
+            self.companions = Companions(self.clock, self.net, seed, said, timing, chance)
         self.nodes = [Node(self, number) for number in range(day.fleet.nodes)]
         self.troubles = Troubles(self)
 
--- a/lab/settings.py
+++ b/lab/settings.py
@@ -119,6 +119,9 @@
 
     servers: int = Field(10, ge=1, le=100_000, description="servers")
     nodes: int = Field(2, ge=1, le=1000, description="nodes that share them")
+    said: int = Field(0, ge=0, le=65536, description="nodes that their files say there are; 0: the truth")
+    peers: bool = Field(False, description="whether the nodes know each other")
+    expect_s: float = Field(60.0, ge=0, le=86_400, description="peers: how long that counts from a start (s)")
     cells: int = Field(1, ge=1, le=10_000, description="cells; servers are spread over them")
     all_cold: bool = Field(False, description="whether all start as the day begins")
     warm_gain: Share = Field(0.0, description="the part of the work that a server spares for a key it knows")
@@ -228,8 +231,8 @@
                 for c in self.class_
             ),
             zone=node % self.net.zones,
-            group_size=self.fleet.nodes,
-            me=node,
+            group_size=self.fleet.said or self.fleet.nodes,
+            me=node % (self.fleet.said or self.fleet.nodes),
             quotas=tuple(t.quota * t.share / shares * self.capacity for t in self.tenant),
             over_quota_worth=self.node.over_share_worth,
             warm_keys=self.fleet.warm_gain > 0,
--- a/lab/trial/world.py
+++ b/lab/trial/world.py
@@ -166,8 +166,9 @@
                 f'group = "trial"\nsecret = "a secret of this trial"\nseeds = [{seeds}]',
                 f'allow = ["127.0.0.0/8"]\nperiod_ms = {shape.period_ms}',
                 f"patience_ms = {shape.period_ms / 2}",
-                f"gossip_ms = {shape.period_ms / 5}\nretry_ms = {2 * shape.period_ms}\nsync_s = 5.0",
-                f"remember_s = {shape.remember_s}\nshare_ms = 250.0",
+                f"gossip_ms = {shape.period_ms / 5}\nretry_ms = {2 * shape.period_ms}",
+                f"sync_s = {max(5.0, shape.period_ms * 0.03)}\nexpect_s = 600.0",
+                f"remember_s = {shape.remember_s}\nshare_ms = {max(250.0, shape.period_ms / 2)}",
             ]
         return "\n".join([*lines, shape.more]) + "\n"
 
