--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -1,7 +1,7 @@
 """Nodes that know each other as real processes: detection, healing, bytes, processor time, answers' times.
 
-`python -m benchmarks.trials [--most N]`: groups of 3, 10, 40, … to N processes with the times of service, then
-the same requests on three nodes with peers and without, by turns, as ratios.
+`python -m benchmarks.trials [--most N]`: groups of 3, 10, 40, … to N processes with the times of service; the
+same requests on three nodes with peers and without, by turns, as ratios.
 """
 
 from __future__ import annotations
--- a/lab/trial/world.py
+++ b/lab/trial/world.py
@@ -49,6 +49,8 @@
             self.lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
                 self.lock.bind((f"127.{self.number}.255.254", PEERS_PORT))
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as first:
+                    first.bind((f"127.{self.number}.0.1", PEERS_PORT))  # of a trial that was killed
             except OSError:
                 self.lock.close()
             else:
