--- a/badgercart/peers/commands.py
+++ b/badgercart/peers/commands.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import http.client
 import json
 import time
@@ -14,7 +15,10 @@
 
 from badgercart.config import parse_address
 from badgercart.operator.console import show_table
-from badgercart.operator.exits import CommandError
+from badgercart.operator.exits import CommandError, Exit
+from badgercart.peers.driver import LENGTH
+from badgercart.peers.settings import PeersSettings
+from badgercart.peers.wire import MAX_SYNC, Codec, Leave, Packet, Refused
 
 PATIENCE = 5.0  # s
 NODE = click.argument("node", metavar="HOST:PORT")
@@ -88,6 +92,43 @@
     )
 
 
+@peers.command()
+@click.argument("file", metavar="FILE.toml")
+def leave(file: str) -> None:
+    """Have the node of FILE.toml leave its group and go on alone, as before its own end.
+
+    The others take over its parts at once. It joins again with its next start."""
+    from badgercart.operator.faults import FileError
+    from badgercart.operator.file import load
+
+    try:
+        what = load(file)
+    except FileError as error:
+        raise CommandError(str(error), Exit.USAGE) from None
+    settings = what.parts.get("peers")
+    if settings is None:
+        raise CommandError(f"{file}: has no [peers]", Exit.USAGE)
+    try:
+        told = asyncio.run(ask_to_leave(what.config.name, settings))
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, Refused) as error:
+        raise CommandError(f"{file}: the node does not answer: {error or type(error).__name__}") from None
+    click.echo(f"{what.config.name} has left {settings.group}; it knew {len(told.claims) - 1} others")
+
+
+async def ask_to_leave(name: str, settings: PeersSettings) -> Packet:
+    """Tell a node, as one that has the group's secret. Raises OSError, TimeoutError and Refused."""
+    codec = Codec(settings.group, settings.secret.encode())
+    data = codec.encode(Packet(name, 0, 0, 1, (0, 0), Leave()))
+    async with asyncio.timeout(PATIENCE):
+        reader, writer = await asyncio.open_connection(*settings.listen, local_addr=(settings.listen[0], 0))
+        try:
+            writer.write(LENGTH.pack(len(data)) + data)
+            (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+            return codec.decode(await reader.readexactly(min(length, MAX_SYNC)), MAX_SYNC)
+        finally:
+            writer.close()
+
+
 @peers.command()
 @NODE
 @click.argument("name")
--- a/badgercart/peers/driver.py
+++ b/badgercart/peers/driver.py
@@ -14,7 +14,7 @@
 from badgercart.config import Address
 from badgercart.peers.events import REFUSED
 from badgercart.peers.machine import Effect, Machine, SendTo, SyncWith
-from badgercart.peers.wire import MAX_SYNC, MTU, Codec, Packet, Refused, Sync
+from badgercart.peers.wire import MAX_SYNC, MTU, Codec, Leave, Packet, Refused, Sync
 
 AT_ONCE = 32  # datagrams that are read before the loop turns to requests again
 RATE = 4000  # datagrams a second that are looked at: a flood costs a bounded part of the core
@@ -154,7 +154,7 @@
     def datagram(self, data: bytes, source: Address) -> None:
         self.received += 1
         self.bytes_in += len(data)
-        if (packet := self.read(data, source, MTU)) is not None and not isinstance(packet.body, Sync):
+        if (packet := self.read(data, source, MTU)) is not None and not isinstance(packet.body, Sync | Leave):
             self.run(self.machine.receive(self.clock(), packet, source))
 
     def read(self, data: bytes, source: Address, most: int) -> Packet | None:
@@ -213,7 +213,12 @@
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(PATIENCE):
                     packet = self.read(await self.whole(reader), source, MAX_SYNC)
-                    if packet is not None and isinstance(packet.body, Sync):
+                    if packet is not None and isinstance(packet.body, Leave):
+                        if packet.sender == self.machine.me.name:
+                            self.run(self.machine.leave(self.clock()))
+                            self.write(writer, self.machine.everything())
+                            await writer.drain()
+                    elif packet is not None and isinstance(packet.body, Sync):
                         self.syncs += 1
                         answer, effects = self.machine.answer_sync(self.clock(), packet, source)
                         self.write(writer, answer)
--- a/badgercart/peers/machine.py
+++ b/badgercart/peers/machine.py
@@ -223,9 +223,8 @@
         """What the node can count on now."""
         # At first no more than the file's word tells how many there are; in time what was seen does.
         expected = self.expected if self.now - self.began < self.timing.expect else 1
-        return standing(
-            self.view, self.me.name, self.now, self.timing.remember, expected, self.stands_back or self.unsure
-        )
+        nobody = self.stands_back or self.unsure or self.leaving
+        return standing(self.view, self.me.name, self.now, self.timing.remember, expected, nobody)
 
     def live(self) -> list[Belief]:
         """Others that are alive or only suspected."""
--- a/badgercart/peers/part.py
+++ b/badgercart/peers/part.py
@@ -121,8 +121,7 @@
                 events.CONFLICT(name=self.machine.me.name, does=does, boot=effect.boot, **self.stamp())
             elif isinstance(effect, Paused):
                 events.PAUSED(gap_ms=round(effect.gap), **self.stamp())
-        if not self.machine.leaving:
-            self.tell()
+        self.tell()
 
     def stamp(self) -> dict[str, Any]:
         """The hybrid time of an event of ours, as the timeline reads it."""
--- a/badgercart/peers/wire.py
+++ b/badgercart/peers/wire.py
@@ -77,7 +77,11 @@
     """One side of a push-pull, over TCP: everything is carried."""
 
 
-Body = Ping | PingReq | Ack | Nack | Gossip | Behind | Sync
+class Leave(msgspec.Struct, tag="l", array_like=True, frozen=True):
+    """An operator has this node leave the group. Over TCP only."""
+
+
+Body = Ping | PingReq | Ack | Nack | Gossip | Behind | Sync | Leave
 Plain = tuple[str, int, int, str, int, int, str, str, str]
 Posted = tuple[str, str, int, bytes]  # topic, its author, number, what it says
 
--- a/tests/trial/test_peers.py
+++ b/tests/trial/test_peers.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
+
+from badgercart.operator.cli import main
 from badgercart.peers.commands import ask
 from lab.trial.checkers import broken
 from lab.trial.world import Shape, World
@@ -166,3 +170,31 @@
         assert changes == {"n1", "n2"} and len(told["members"]) == 3
 
     trial(tmp_path, Shape(nodes=3, quota=100.0), script)
+
+
+def test_operators_see_who_is_there_and_why_and_have_a_node_leave(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def said(*words: str) -> str:
+        status = main(["peers", *words])
+        told = capsys.readouterr()
+        assert status == 0, told.err
+        return told.out
+
+    async def script(world: World) -> None:
+        await world.group(3)
+        front, mark = world.nodes["n0"].front, world.marks()
+        assert "3 of 3 in reach, whole" in await asyncio.to_thread(said, "list", front)
+        out = await asyncio.to_thread(said, "leave", str(world.nodes["n1"].file))
+        assert "n1 has left trial; it knew 2 others" in out
+        await world.nodes["n1"].until("peers.level", lambda e: e["standing"] == "alone", mark["n1"])
+        await world.nodes["n0"].until("peers.level", lambda e: e["may_live"] == 2, mark["n0"])
+        assert "n1: left for" in await asyncio.to_thread(said, "why", front, "n1")
+        assert "n1 left by the word of" in await asyncio.to_thread(said, "watch", front, "--times", "1")
+        assert json.loads(await asyncio.to_thread(said, "list", front, "--json"))["level"] == "whole"
+        assert await asyncio.to_thread(main, ["peers", "why", front, "n9"]) == 1
+        assert await asyncio.to_thread(main, ["peers", "list", "127.0.0.1:9"]) == 1
+        assert await asyncio.to_thread(main, ["peers", "leave", str(tmp_path / "none.toml")]) == 2
+        await world.traffic(60, 1.0)  # it serves on
+
+    trial(tmp_path, Shape(nodes=3), script)
