--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -14,6 +14,7 @@
 import time
 from pathlib import Path
 
+from badgercart.peers.commands import ask
 from lab.trial.checkers import broken
 from lab.trial.world import Shape, World
 
@@ -88,6 +89,46 @@
         return took[len(took) // 2], took[len(took) * 99 // 100]
 
 
+async def shares() -> dict[str, tuple[float, float]]:
+    """Of a tenant's share, what five nodes together may use: least and most, by what has befallen them.
+
+    All traffic comes to two of them; one is killed, then two are cut off."""
+    with tempfile.TemporaryDirectory() as folder:
+        world = await World(Shape(nodes=5, quota=200.0), Path(folder)).start()
+        found: dict[str, list[float]] = {}
+        now, names = ["settled"], list(world.nodes)
+
+        async def look() -> None:
+            while True:
+                running = [n for n in names if n not in world.down]
+                told = await asyncio.gather(*(asyncio.to_thread(ask, world.nodes[n].front) for n in running))
+                sums = [sum(parts) for parts in zip(*(t["parts"] for t in told), strict=True)]
+                found.setdefault(now[0], []).extend((min(sums), max(sums)))
+                await asyncio.sleep(0.2)
+
+        try:
+            await world.group(5)
+            traffic = asyncio.ensure_future(world.traffic(180, 22.0, nodes=names[:2]))
+            await asyncio.sleep(4.0)
+            looking = asyncio.ensure_future(look())
+            await asyncio.sleep(3.0)
+            now[0] = "one dies"
+            await world.kill(names[-1])
+            await asyncio.sleep(3.0)
+            now[0] = "one is dead"
+            await asyncio.sleep(3.0)
+            now[0] = "two are cut off"
+            world.split(names[2:4], names[:2])
+            await asyncio.sleep(3.0)
+            now[0] = "two are away"
+            await asyncio.sleep(3.0)
+            looking.cancel()
+            await traffic
+        finally:
+            await world.stop()
+        return {name: (min(sums), max(sums)) for name, sums in found.items()}
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--most", type=int, default=10, help="the largest group (10)")
@@ -100,6 +141,8 @@
         print(
             f"| {count} | {joined:.2f} | {took:.2f} | {view:.2f} | {bytes_:.0f} | {share:.4f} |", flush=True
         )
+    for moment, (least, most_) in asyncio.run(shares()).items():
+        print(f"parts of a share, all nodes together, {moment}: {least:.2f} to {most_:.2f}")
     pairs = [(asyncio.run(requests(False, seed)), asyncio.run(requests(True, seed))) for seed in (1, 2, 3)]
     for name, at in (("median", 0), ("99th percentile", 1)):
         ratio = statistics.median(with_[at] / without[at] for without, with_ in pairs)
