--- a/badgercart/membership/etcd/members.py
+++ b/badgercart/membership/etcd/members.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import http.client
 import json
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -16,6 +15,7 @@
 from badgercart.membership.etcd.client import authenticate, open_channel, prefix_end
 from badgercart.membership.etcd.guard import OVERRIDE
 from badgercart.membership.etcd.settings import EtcdSettings
+from badgercart.operator.asking import page_of
 from badgercart.operator.console import show_table
 from badgercart.operator.exits import CommandError, Exit
 
@@ -102,7 +102,7 @@
     async def list_entries(self, as_json: bool, node: str | None) -> int:
         lines = [line_of(kv, self.prefix) for kv in await self.entries()]
         if node is not None:
-            return self.compare([line for line in lines if "fault" not in line], from_node(node))
+            return self.compare([line for line in lines if "fault" not in line], page_of(node, "/_members"))
         if as_json:
             print("\n".join(map(json.dumps, lines)))
         else:
@@ -206,18 +206,3 @@
     if "fault" in line:
         return (line["instanceId"], f"({line['fault']})", *[""] * (len(COLUMNS) - 2))
     return tuple(str(line.get(column, "")) for column in COLUMNS)
-
-
-def from_node(address: str) -> dict[str, Any]:
-    """What a node believes, from `GET /_members` of its HTTP front."""
-    try:
-        host, port = parse_address(address)
-        connection = http.client.HTTPConnection(host, port, timeout=PATIENCE)
-        connection.request("GET", "/_members")
-        answer = connection.getresponse()
-        if answer.status != 200:
-            raise CommandError(f"{address}: status {answer.status}")
-        told: dict[str, Any] = json.loads(answer.read())
-        return told
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise CommandError(f"{address}: {error}") from None
--- a/badgercart/peers/commands.py
+++ b/badgercart/peers/commands.py
@@ -6,37 +6,25 @@
 from __future__ import annotations
 
 import asyncio
-import http.client
 import json
 import time
 from typing import Any
 
 import click
 
-from badgercart.config import parse_address
+from badgercart.operator.asking import PATIENCE, page_of
 from badgercart.operator.console import show_table
 from badgercart.operator.exits import CommandError, Exit
 from badgercart.peers.driver import LENGTH
 from badgercart.peers.settings import PeersSettings
 from badgercart.peers.wire import MAX_SYNC, Codec, Leave, Packet, Refused
 
-PATIENCE = 5.0  # s
 NODE = click.argument("node", metavar="HOST:PORT")
 
 
 def ask(node: str) -> dict[str, Any]:
     """What a node's HTTP front says of its peers. Raises CommandError."""
-    try:
-        host, port = parse_address(node)
-        connection = http.client.HTTPConnection(host, port, timeout=PATIENCE)
-        connection.request("GET", "/_peers")
-        answer = connection.getresponse()
-        if answer.status != 200:
-            raise CommandError(f"{node}: answers {answer.status}; are peers switched on there?")
-        told: dict[str, Any] = json.loads(answer.read())
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise CommandError(f"{node}: {error}") from None
-    return told
+    return page_of(node, "/_peers")
 
 
 def show(told: dict[str, Any]) -> None:
--- a/tests/peers/test_group.py
+++ b/tests/peers/test_group.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from badgercart.peers.machine import SendTo, Timing
+from badgercart.peers.machine import MAX_RELAYED, MAX_RIVALS, MAX_WINDOWS, SendTo, Timing
 from badgercart.peers.view import Status
 from badgercart.peers.vouching import Level
-from badgercart.peers.wire import MTU, Ack, Behind, Gossip, Ping
+from badgercart.peers.wire import MTU, Ack, Behind, Gossip, Ping, PingReq
 from lab.group import WALL, Group, Links
 
 BOUND = 60_000.0  # ms in which a group of these sizes must agree
@@ -207,6 +207,21 @@
     assert group.statuses("n0")["n1"] is Status.ALIVE
 
 
+def test_strangers_by_the_thousand_and_endless_requests_fill_no_table() -> None:
+    group = joined(2)
+    machine, other = group.machines["n0"], group.machines["n1"]
+    for number in range(MAX_WINDOWS + 50):
+        machine.receive(group.now, replace(other.packet(Gossip()), sender=f"x{number}"), ("127.9.9.9", 1))
+    for number in range(MAX_RELAYED + 50):
+        asking = other.packet(PingReq(number, "n1", *other.me.address, 500.0))
+        machine.receive(group.now, asking, other.me.address)
+    for boot in range(1, MAX_RIVALS + 20):
+        rival = replace(machine.me, boot=machine.me.boot + boot, incarnation=machine.me.incarnation + 1)
+        machine.receive(group.now, other.packet(Gossip(), (rival,)), other.me.address)
+    assert len(machine.windows) <= MAX_WINDOWS and len(machine.relayed) <= MAX_RELAYED
+    assert len(machine.rivals) <= MAX_RIVALS and len(machine.queue) < 10
+
+
 def test_the_dead_are_forgotten_in_time_and_tried_until_then() -> None:
     group = joined(3, timing=Timing(remember=40_000.0))
     group.kill("n2")
--- a/tests/peers/test_merging.py
+++ b/tests/peers/test_merging.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from badgercart.peers.board import MAX_POST, Board
+from badgercart.peers.driver import MAX_SOURCES, Allowed
 from badgercart.peers.hybrid import MAX_AHEAD, HybridClock
 from badgercart.peers.queue import Queue, most_times
 from badgercart.peers.view import Claim, Status, View
@@ -133,3 +134,12 @@
     now[0] = 400.0  # set back
     assert clock.tick() > heard
     assert clock.hear((int(now[0]) + MAX_AHEAD + 10_000, 0)) < (now[0] + MAX_AHEAD, 0)
+
+
+def test_addresses_are_allowed_by_network_and_looked_up_once() -> None:
+    allowed = Allowed(("127.1.0.0/16", "10.0.0.5/32"))
+    assert "127.1.2.3" in allowed and "10.0.0.5" in allowed
+    assert "127.2.0.1" not in allowed and "no address" not in allowed
+    for number in range(MAX_SOURCES + 10):
+        assert f"127.1.{number >> 8 & 255}.{number & 255}" in allowed
+    assert len(allowed.known) <= MAX_SOURCES
