Kill half of the nodes while no list comes, cut a ring, and let no late machine break a rule

Two hard cases more by real processes: six nodes of which three are killed at once while the others' way to the list is cut (three of six are no majority: each keeps to a sixth, and all is whole again once they are back); a ring of links cut one way buries nobody. The checkers' times would have blamed a node for a machine that is late itself: the trial measures how late its own timers ring and allows for it, and an answer counts as lost half a second after its time, as on the platform.

--- a/lab/trial/world.py
+++ b/lab/trial/world.py
@@ -18,7 +18,9 @@
 
 WORK = {"cab-lookup": (5.0, 15.0), "ride-assign": (8.0, 20.0)}  # ms
 PEERS_PORT = 7946
-LIST, CLIENTS = "list", "clients"  # names on the switch
+LIST = "list"  # its name on the switch
+PATIENCE = 500.0  # ms beyond its time in which a late answer is told from a lost one, as on the platform
+LOOK = 0.02  # s between looks at how late this machine is
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +95,8 @@
     told: list[Told] = field(default_factory=list)
     catalog: Catalog = field(init=False)
     began: float = 0.0
+    late: float = 0.0  # s by which this machine was late with a timer, at worst
+    looking: asyncio.Task[None] | None = None
     down: dict[str, list[list[float]]] = field(default_factory=dict)  # when nodes did not run: from, until
 
     def __post_init__(self) -> None:
@@ -136,6 +140,7 @@
             file.write_text(self.file(number))
             self.nodes[f"n{number}"] = NodeProcess(f"n{number}", file)
         await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        self.looking = asyncio.ensure_future(self.look())
         await asyncio.gather(*(node.until("list.taken") for node in self.nodes.values()))
 
     def file(self, number: int) -> str:
@@ -174,8 +179,17 @@
             ]
         return "\n".join([*lines, shape.more]) + "\n"
 
+    async def look(self) -> None:
+        """How late timers ring here: by so much a node may be late, too, for no fault of its own."""
+        while True:
+            due = time.monotonic() + LOOK
+            await asyncio.sleep(LOOK)
+            self.late = max(self.late, time.monotonic() - due)
+
     async def stop(self) -> dict[str, int]:
         """End all of it; gives the exit status of each node that still ran."""
+        if self.looking is not None:
+            self.looking.cancel()
         running = [n for n in self.nodes.values() if n.process and n.process.returncode is None]
         codes = await asyncio.gather(*(node.stop() for node in running))
         if hasattr(self, "catalog"):
@@ -275,5 +289,5 @@
 
     async def ask(self, name: str, arrival: Arrival, connections: http1.Connections) -> None:
         sent = time.monotonic()
-        result = await ask(self.nodes[name].front, arrival, connections)
+        result = await ask(self.nodes[name].front, arrival, connections, PATIENCE)
         self.asked.append(Asked(name, sent, result))
--- a/tests/trial/test_peers.py
+++ b/tests/trial/test_peers.py
@@ -198,3 +198,35 @@
         await world.traffic(60, 1.0)  # it serves on
 
     trial(tmp_path, Shape(nodes=3), script)
+
+
+def test_half_of_them_killed_at_once_while_no_list_comes(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        left, gone = ["n0", "n1", "n2"], ["n3", "n4", "n5"]
+        await world.group(6)
+        world.switch.between(left, ["list"], cut=True)
+        traffic = asyncio.ensure_future(world.traffic(80, 5.0, nodes=left))
+        mark = world.marks()
+        await asyncio.gather(*(world.kill(name) for name in gone))
+        await world.level("some", left, mark)  # three of six are no majority
+        told = await asyncio.to_thread(ask, world.nodes["n0"].front)
+        assert told["may_live"] == 6 and set(told["parts"]) == {1 / 6}
+        mark = world.marks()
+        await asyncio.gather(*(world.start_again(name) for name in gone))
+        await world.level("whole", left, mark)
+        await traffic
+
+    trial(tmp_path, Shape(nodes=6), script)
+
+
+def test_a_ring_of_links_cut_one_way_buries_nobody(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        await world.group(5)
+        names, mark = list(world.nodes), world.marks()
+        for one, other in zip(names, names[1:] + names[:1], strict=True):
+            world.switch.set(one, other, cut=True)
+        await world.traffic(60, 5.0)
+        later = [e for n in names for e in world.nodes[n].events[mark[n] :]]
+        assert not [e for e in later if e["event"] == "peers.changed" and e["status"] == "dead"]
+
+    trial(tmp_path, Shape(nodes=5), script)
