Write nothing for a client that has left, and rest a connection behind an answer

The policy's finish gives a Cancel only with may_cancel, and the pool's connect looked at the server alone. (2) A client that sends more ahead than is read, and goes, was not noticed while its connection was not read. (3) One that ends its side with an answer unread was noticed only when the transport had got rid of that. Ruled out: a resend after a failure (the policy has forgotten the request by then), a client that leaves in the turn in which it is taken.

Change: what is not written when a request ends never is, whether or not work may be cancelled (Carrier.forgo, by the join); one place asks as an attempt begins to be written (ServerPool.put_on, attempts.hindrance); connections that are not read are looked at each 0.1 s and before their next request; the end of a client's side counts at once. A connection rests for 10 ms behind an answer: the next attempt takes one that has, or waits for it. A policy that broke over a request is told to forget it; a Send for one that left while it was decided ends as not sent.

Tests: each was seen to fail without its part, but those where cancelling is allowed, which guard the promise.

--- a/badgercart/carriers/pool/attempts.py
+++ b/badgercart/carriers/pool/attempts.py
@@ -24,7 +24,7 @@
 
 # How an attempt may end from where it is. One that was not sent never ran, and one that was may have.
 ENDS: dict[At, tuple[Result, ...]] = {
-    At.DIALLING: (Result.UNREACHABLE, Result.CANCELLED),
+    At.DIALLING: (Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT),
     At.SENT: (Result.OK, Result.ERROR, Result.FULL, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
     At.SENDING: (Result.OK, Result.ERROR, Result.FULL, Result.UNREACHABLE, Result.CANCELLED),
     At.STREAMING: (Result.OK, Result.ERROR, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
@@ -38,6 +38,15 @@
 BROKEN = {At.SENT: Result.RESET, At.SENDING: Result.UNREACHABLE, At.STREAMING: Result.RESET}
 
 
+def hindrance(wanted: bool, fit: bool, left: float) -> Result | None:
+    """Why an attempt that has not begun may not be written now, as the end that it has; None: it may.
+
+    `wanted`: its request still waits; `fit`: its server may get something new; `left`: ms of its time."""
+    if not wanted:
+        return Result.NOT_SENT
+    return None if fit and left > 0 else Result.UNREACHABLE
+
+
 def check_end(at: At, result: Result) -> None:
     """RuntimeError where an attempt can't end so from there."""
     if result not in ENDS[at]:
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -10,7 +10,7 @@
 from functools import partial
 from typing import Protocol, cast
 
-from badgercart.carriers.pool.attempts import BROKEN, OVERDUE, At, IdleLimit, check_end
+from badgercart.carriers.pool.attempts import BROKEN, OVERDUE, At, IdleLimit, check_end, hindrance
 from badgercart.carriers.pool.events import MALFORMED_ANSWER, NO_DESCRIPTORS
 from badgercart.carriers.pool.exchange import Done, Exchange, Found, Malformed, Message
 from badgercart.config import Address
@@ -25,6 +25,9 @@
 
 LAST_LOOK = 0.001  # s, one turn of the loop, between an attempt's time and its end
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
+# ms that a connection rests between an answer and the next request. A second answer may come some ms behind
+# the first, and would pass for the next one's: answers do not say whose they are. Seen: 1.2 to 3.5 ms.
+REST = 10.0
 HOLD_TIME = 0.1  # s after its first byte that an answer of unknown length is held
 SILENCE = 10_000.0  # ms without a byte after which a server's answer, or its reading, is given up
 UNREAD = 30_000.0  # ms without room at the client after which its answer is given up
@@ -268,6 +271,11 @@
 OnBegin = Callable[[int, int, int, float, Opening], Sink | None]
 
 
+def any_request(request_id: int) -> bool:
+    """For who does not tell which requests still wait."""
+    return True
+
+
 def held_only(request_id: int, number: int, server_id: int, elapsed: float, opening: Opening) -> Sink | None:
     """For fronts whose messages ask for no answer as it comes."""
     return None
@@ -286,8 +294,10 @@
         on_begin: OnBegin = held_only,
         room: Room | None = None,
         source: str | None = None,  # the address that connections set out from
+        wanted: Callable[[int], bool] = any_request,
     ) -> None:
         self.loop = loop
+        self.wanted = wanted
         self.local = (source, 0) if source else None
         self.dial_timeout = dial_timeout
         self.idle_limit = IdleLimit(idle_timeout)
@@ -338,13 +348,50 @@
             upload.on_lost = partial(self.drop, attempt, Result.CANCELLED)
         else:
             attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
-        while server.idle:
-            connection = server.idle.pop()
-            if now - connection.idle_since < self.idle_limit.ms and connection.quiet():
-                connection.start(attempt)
+        rested = len(server.idle)
+        while rested and now - server.idle[rested - 1].idle_since < REST:
+            rested -= 1
+        while rested:
+            rested -= 1
+            connection = server.idle.pop(rested)
+            if self.trusted(connection):
+                self.put_on(attempt, connection)
                 return
             connection.transport.abort()
-        attempt.dial = self.loop.create_task(self.connect(attempt))
+        way = self.rested(attempt, server.idle.pop(0)) if server.idle else self.connect(attempt)
+        attempt.dial = self.loop.create_task(way)
+
+    async def rested(self, attempt: Attempt, connection: ServerConnection) -> None:
+        """Go out on a connection that has just had an answer, once it has rested."""
+        try:
+            await asyncio.sleep((REST + connection.idle_since - now_ms()) / 1000)
+        except asyncio.CancelledError:
+            self.park(connection)
+            raise
+        if self.trusted(connection):
+            attempt.dial = None
+            self.put_on(attempt, connection)
+        else:
+            connection.transport.abort()
+            await self.connect(attempt)
+
+    def trusted(self, connection: ServerConnection) -> bool:
+        """Whether an idle connection can carry the next request."""
+        return now_ms() - connection.idle_since < self.idle_limit.ms and connection.quiet()
+
+    def put_on(self, attempt: Attempt, connection: ServerConnection) -> None:
+        """The one place where an attempt begins to be written, if it still may be.
+
+        Meanwhile its request may have ended, its time passed, or its server begun to drain."""
+        server = attempt.server
+        fit = attempt.version == server.version and server.state is State.READY
+        left = attempt.deadline - now_ms()
+        why = hindrance(self.wanted(attempt.request_id), fit and not connection.transport.is_closing(), left)
+        if why is None:
+            connection.start(attempt)
+        else:
+            connection.transport.abort()
+            self.end(attempt, why)
 
     def hold(self) -> int:
         return self.room.hold
@@ -389,15 +436,11 @@
         finally:
             self.dials -= 1
         attempt.dial = None
-        # Meanwhile the server may have begun to drain or come back elsewhere: then it gets nothing.
-        if attempt.version != server.version or connection.transport.is_closing():
-            connection.transport.abort()
-            self.end(attempt, Result.UNREACHABLE)
-        else:
-            # Counted from here, not from connection_made: a dial that is cancelled just as it comes up is
-            # closed by uvloop without connection_lost, and would count against the limit for ever.
+        # Counted from here, not from connection_made: a dial that is cancelled just as it comes up is
+        # closed by uvloop without connection_lost, and would count against the limit for ever.
+        if not connection.transport.is_closing():
             self.connections.add(connection)
-            connection.start(attempt)
+        self.put_on(attempt, connection)
 
     def retune(self, dial_timeout: float, idle_timeout: float) -> None:
         self.dial_timeout = dial_timeout
@@ -464,6 +507,12 @@
         if attempt is not None:
             self.drop(attempt, Result.CANCELLED)
 
+    def forgo(self, request_id: int, number: int) -> None:
+        """Nobody waits for it: nothing of it is written that has not been."""
+        attempt = self.attempts.get((request_id, number))
+        if attempt is not None and attempt.at is At.DIALLING:
+            self.drop(attempt, Result.NOT_SENT)
+
     def drop(self, attempt: Attempt, result: Result) -> None:
         """Stop waiting: the connection is of no more use, an answer may still come on it."""
         if attempt.dial is not None:
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -77,6 +77,7 @@
         self.held: dict[int, Held] = {}
         self.out: dict[tuple[int, int], Carrier] = {}  # attempts, also of requests that are over
         self.last_id = 0
+        self.leaving: dict[int, Held] = {}  # withdrawn, and the policy has yet to hear of it
         self.events: deque[Event] = deque()
         self.handling = False
         self.observers: tuple[Observer, ...] = ()
@@ -108,6 +109,8 @@
             while self.events:
                 event = self.events.popleft()
                 now, decided = self.clock(), False
+                if isinstance(event, Withdrawn):
+                    self.leaving.pop(event.id, None)
                 try:
                     actions = self.policy.handle(now, event)
                     decided = True
@@ -121,19 +124,22 @@
                     # One request must not take the node down with it; it still is owed an answer.
                     POLICY_FAILED(True, kind=type(event).__name__, request=getattr(event, "id", 0))
                     if isinstance(event, Request | Outcome | Diverted | Resume):
-                        self.end(event.id, broken=True)
+                        self.give_up(event.id)
                     elif isinstance(event, Timer):
-                        self.end(event.token, broken=True)
+                        self.give_up(event.token)
         finally:
             self.handling = False
 
     def send(self, action: Send) -> None:
-        held = self.held[action.id]
+        held = self.held.get(action.id) or self.leaving[action.id]
         number, held.sends = held.sends, held.sends + 1
         limit = held.intake.due - self.clock() if held.intake.whole else held.intake.patience
         if action.limit:
             limit = min(limit, action.limit)
         self.out[action.id, number] = held.carrier
+        if action.id in self.leaving:  # its client left while this was being decided
+            self.ended(action.id, number, action.server, Result.NOT_SENT, 0.0)
+            return
         for watcher in self.watchers:
             watcher.sent(action.server)
         work = held.intake.work
@@ -142,6 +148,7 @@
     def refuse(self, action: Refuse) -> None:
         if (held := self.held.pop(action.id, None)) is not None:
             self.over(action.id, held, Final.REFUSED)
+            self.forgo(action.id, held)
             held.front.refused(action.wait)
 
     def fail(self, action: Fail) -> None:
@@ -150,8 +157,22 @@
     def end(self, request_id: int, broken: bool) -> None:
         if (held := self.held.pop(request_id, None)) is not None:
             self.over(request_id, held, Final.FAILED)
+            self.forgo(request_id, held)
             held.front.failed(broken)
 
+    def give_up(self, request_id: int) -> None:
+        """The policy broke over it: it has its answer, and the policy is to forget it."""
+        if request_id in self.held:
+            self.end(request_id, broken=True)
+            self.events.append(Withdrawn(request_id))
+
+    def forgo(self, request_id: int, held: Held) -> None:
+        """A request is over: what has not gone out for it by now never does, whether or not work may be
+        cancelled."""
+        for number in range(held.sends):
+            if (carrier := self.out.get((request_id, number))) is not None:
+                carrier.forgo(request_id, number)
+
     def over(self, request_id: int, held: Held, final: Final, server: int = 0) -> None:
         took = self.clock() - held.taken if held.taken else 0.0
         for observer in self.observers:
@@ -206,6 +227,9 @@
         """The client has gone away: nothing is owed any more."""
         if (held := self.held.pop(request_id, None)) is not None:
             self.over(request_id, held, Final.WITHDRAWN)
+            if self.handling:
+                self.leaving[request_id] = held
+            self.forgo(request_id, held)
             self.tell(Withdrawn(request_id))
 
     # From carriers.
@@ -242,6 +266,8 @@
         told = Outcome(request_id, server_id, over, result, number, elapsed, parked=parked, spent=spent)
         # Before the answer, which may bring the client's next request: to that, the attempt must not be out.
         self.events.append(told)
+        if held is not None and held.sends > 1:
+            self.forgo(request_id, held)
         if held is not None and answer is not None:
             held.front.answered(answer)
         self.handle()
@@ -256,6 +282,8 @@
             return None
         if self.observers:
             self.over(request_id, held, Final.SERVED, server_id)
+        if held.sends > 1:
+            self.forgo(request_id, held)
         sink = cast(StreamingFront, held.front).began(opening)
         self.tell(Began(request_id, number, server_id, elapsed))
         return sink
--- a/badgercart/core/ports.py
+++ b/badgercart/core/ports.py
@@ -87,6 +87,9 @@
     def cancel(self, request_id: int, number: int) -> None:
         """Stop waiting for an attempt; its end is reported as any other."""
 
+    def forgo(self, request_id: int, number: int) -> None:
+        """Its request is over: an attempt of which nothing has gone out yet never goes out, and ends so."""
+
 
 class Handle(Protocol):
     """A timer that is set."""
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -77,6 +77,9 @@
     def cancel(self, request_id: int, number: int) -> None:
         self.pool.cancel(request_id, number)
 
+    def forgo(self, request_id: int, number: int) -> None:
+        self.pool.forgo(request_id, number)
+
     def ended(
         self,
         request_id: int,
@@ -138,6 +141,7 @@
             room * 3 // 8,
             self.carrier.ended,
             source=config.source,
+            wanted=join.held.__contains__,
         )
         roster.on_change.append(self.pool.update)
         self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read, bad_request)
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -15,7 +15,7 @@
 from badgercart.core.clock import now_ms
 from badgercart.core.ports import Answer
 from badgercart.core.room import HOLD, Room
-from badgercart.core.streams import Opening, Sink, nothing
+from badgercart.core.streams import Opening, Sink, Upload, nothing
 from badgercart.fronts.http.connection import Connection, State
 from badgercart.fronts.http.crowd import GREETING, makes_room
 from badgercart.fronts.http.events import ACCEPT_FAILED
@@ -37,6 +37,8 @@
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 QUIET = 0.6  # s of standing idle after which a process that is replaced closes a connection
 LATE = 1.2  # s after which it closes those that are used, too, between two requests
+LOOK = 0.1  # s between looks whether a client has left whose connection is not read now
+LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 
 
@@ -102,6 +104,9 @@
             State.ENDING: self.ending,
             State.UPLOADING: self.uploading,
         }
+        # Connections that are not read now, whose ends the loop does not see.
+        self.unheard: set[ClientConnection] = set()
+        self.looking: asyncio.TimerHandle | None = None
         self.socket: socket.socket | None = None
         self.opened = True  # whether it may accept
         self.accepting = False
@@ -173,8 +178,9 @@
 
     def close(self) -> None:
         self.stop()
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.looking):
+            if timer is not None:
+                timer.cancel()
 
     # The loop's own server accepts without a limit and ends for good where descriptors have run out, so the
     # listening socket is read here: at the limit, clients wait in its backlog.
@@ -244,8 +250,21 @@
         """Some clients ask once and keep their connection: where so many stand idle, no more are kept."""
         return self.limit // 3
 
+    def rest(self, client: ClientConnection) -> None:
+        """A connection is not read for a while: whether its client leaves is looked for."""
+        self.unheard.add(client)
+        if self.looking is None:
+            self.looking = self.loop.call_later(LOOK, self.look)
+
+    def look(self) -> None:
+        for client in [client for client in self.unheard if client.gone()]:
+            self.unheard.discard(client)
+            client.transport.abort()
+        self.looking = self.loop.call_later(LOOK, self.look) if self.unheard else None
+
     def lost(self, client: ClientConnection) -> None:
         self.connections.discard(client)
+        self.unheard.discard(client)
         if client is self.evicted:
             self.evicted = None
         self.resume()
@@ -305,14 +324,22 @@
         upload = self.machine.upload
         self.machine.lost(self.listener.loop.time())
         self.listener.lost(self)
+        self.withdraw(upload)
+
+    def eof_received(self) -> None:
+        """A client that ends its side has left, by the protocol. The close that follows may take its time."""
+        upload = self.machine.upload
+        self.machine.left(self.listener.loop.time())
+        self.withdraw(upload)
+
+    def withdraw(self, upload: Upload | None) -> None:
+        """Nothing is owed here any more."""
         on_lost, self.on_lost, self.on_room = self.on_lost, nothing, nothing
         on_lost()
         if self.request_id:
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
-        if (
-            upload is not None
-        ):  # also where the attempt on it must not be cancelled: it can only wait for ever
+        if upload is not None:  # also where the attempt must not be cancelled: it can only wait for ever
             upload.abandon()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -330,8 +357,17 @@
 
     def unread(self) -> bool:
         """Whether something has come that the loop has not read yet."""
+        return self.shows(select.POLLIN)
+
+    def gone(self) -> bool:
+        """Whether the client has left, or the connection is broken, behind whatever lies unread."""
+        return self.shows(LEFT)
+
+    def shows(self, events: int) -> bool:
+        if self.transport.is_closing():
+            return False
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
     # From the join.
@@ -421,12 +457,17 @@
         return self.listener.words(status, why)
 
     def take(self, request: ClientRequest) -> None:
+        if self in self.listener.unheard and self.gone():
+            self.transport.abort()  # its end comes in the next turn, and nobody waits until then
+            return
         self.listener.handler.take(self, request)
 
     def pause(self) -> None:
         self.transport.pause_reading()
+        self.listener.rest(self)
 
     def resume(self) -> None:
+        self.listener.unheard.discard(self)
         if not self.transport.is_closing():
             self.transport.resume_reading()
 
--- a/badgercart/fronts/http/connection.py
+++ b/badgercart/fronts/http/connection.py
@@ -204,6 +204,18 @@
         self.full = False
         self.next()
 
+    def left(self, now: float) -> None:
+        """Its client has left: nothing of it is owed an answer any more. What is written may still go out."""
+        self.now = now
+        self.ended = True
+        self.upload = self.incoming = None
+        self.drop_waiting()
+        self.release(self.request)
+        self.request = None
+        self.busy = False
+        if self.state not in (State.ENDING, State.CLOSED):
+            self.move(State.ENDING)
+
     def lost(self, now: float) -> None:
         """The connection is gone, and all that waited on it with it."""
         self.now = now
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -46,7 +46,7 @@
         self.bulk = Room(room_of(config.memory_mb))
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, join.ended,
-            join.began, self.bulk, config.source,
+            join.began, self.bulk, config.source, join.held.__contains__,
         )  # fmt: skip
         roster.on_change.append(self.pool.update)
         read = platform_requests(config, streams=True)
--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -175,6 +175,9 @@
         if self.order is not None and self.order.number == number:
             self.calls.end_attempt(self, Result.CANCELLED)
 
+    def forgo(self, request_id: int, number: int) -> None:
+        """The proxy has the attempt as soon as it is decided, and knows itself that its client left."""
+
 
 class Calls:
     """All calls and streams of one processor. `now` is given with each event, in ms of the join's clock."""
--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -262,6 +262,8 @@
 
         def cancel(self, request_id: int, number: int) -> None: ...
 
+        def forgo(self, request_id: int, number: int) -> None: ...
+
     from badgercart.core.ports import Answer, Intake
     from badgercart.core.roster import Roster
     from cottonhall.interface import Result
--- a/lab/wire.py
+++ b/lab/wire.py
@@ -30,6 +30,8 @@
     tried: int  # the client's try, from 1
     work: Work | None = None
     ended: bool = False
+    up: float = 0.0  # when its connection is there
+    unsent: bool = False  # its request was over by then
 
 
 class Net:
@@ -98,6 +100,7 @@
                 self.clock.after(2 * way, self.end, attempt, Result.UNREACHABLE)
                 return
             self.dials += 1
+            attempt.up = self.clock.now + self.net.day.net.handshake_ms + 2 * way
             way += self.net.day.net.handshake_ms + 2 * way
         self.clock.after(way, self.arrive, attempt)
 
@@ -112,7 +115,7 @@
 
     def arrive(self, attempt: Attempt) -> None:
         server = attempt.server
-        if attempt.ended and server.day.fleet.drops_abandoned:
+        if attempt.unsent or (attempt.ended and server.day.fleet.drops_abandoned):
             return
         asked = attempt.order.work
         attempt.work = Work(
@@ -150,6 +153,12 @@
                 attempt.work.abandoned = True
             self.end(attempt, Result.CANCELLED)
 
+    def forgo(self, request_id: int, number: int) -> None:
+        attempt = self.out.get((request_id, number))
+        if attempt is not None and self.clock.now < attempt.up:
+            attempt.unsent = True
+            self.end(attempt, Result.NOT_SENT)
+
     # Probes, for peers that ask for them.
 
     def probe(self, action: Probe) -> None:
--- a/tests/capture/support.py
+++ b/tests/capture/support.py
@@ -87,6 +87,9 @@
     def cancel(self, request_id: int, number: int) -> None:
         self.join.ended(request_id, number, 0, Result.CANCELLED, 1.0)
 
+    def forgo(self, request_id: int, number: int) -> None:
+        """All that is sent is out at once."""
+
     def answered(self, answer: Answer) -> None:
         self.answers += 1
 
--- a/tests/carriers/test_exchange.py
+++ b/tests/carriers/test_exchange.py
@@ -54,7 +54,8 @@
 
 
 def test_an_attempt_that_was_not_sent_can_not_have_run() -> None:
-    never, may = {Result.UNREACHABLE, Result.CANCELLED}, {Result.OK, Result.RESET, Result.TIMEOUT}
+    never = {Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT}
+    may = {Result.OK, Result.RESET, Result.TIMEOUT}
     assert set(ENDS[At.DIALLING]) == never and may <= set(ENDS[At.SENT])
     assert Result.UNREACHABLE not in ENDS[At.SENT] and all(OVERDUE[at] in ENDS[at] for at in At)
     for at, result in ((At.DIALLING, Result.TIMEOUT), (At.SENT, Result.UNREACHABLE)):
--- a/tests/carriers/test_pool.py
+++ b/tests/carriers/test_pool.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from badgercart.carriers.pool import pool
 from badgercart.carriers.pool.pool import ServerConnection
 from badgercart.core.names import stable_id
-from cottonhall.interface import Result, Send, ServerList
+from cottonhall.interface import Request, Result, Send, ServerList
 from tests.net import (
     OK,
     WAIT,
@@ -246,8 +247,11 @@
 @pytest.mark.parametrize(
     "behind", [OK.replace(b"done", b"late"), b"\x00noise", b""], ids=["copy", "noise", "close"]
 )
-def test_what_lies_unread_in_an_idle_connection_is_no_answer(behind: bytes) -> None:
-    # The next attempt may take a connection in the same turn of the loop in which it was parked.
+def test_what_lies_unread_in_an_idle_connection_is_no_answer(
+    behind: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The next attempt may take a connection in the turn of the loop in which something came on it.
+    monkeypatch.setattr(pool, "REST", 0.0)
     writers: list[asyncio.StreamWriter] = []
 
     async def keep(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
@@ -277,6 +281,52 @@
     run(test())
 
 
+def test_a_second_answer_that_comes_late_is_not_the_next_ones(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool, "REST", 500.0)  # so that a slow machine has the second one come within it
+    writers: list[asyncio.StreamWriter] = []
+
+    async def twice(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(twice).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[2] == b"done"
+            await stand.event(Request)
+            client.writer.write(request())
+            await stand.event(Request)  # decided for the same server, while the first answer is fresh
+            writers[0].write(OK.replace(b"done", b"late"))
+            assert (await client.answer())[2] == b"done"
+            assert peer.connections == 2 and len(writers) == 2
+
+    run(test())
+
+
+def test_a_connection_that_rests_is_kept_where_its_attempt_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(pool, "REST", 500.0)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+            client.writer.write(request())
+            await stand.outcome()
+            while not stand.node.pool.attempts:
+                await asyncio.sleep(0)
+            client.writer.close()
+            assert (await stand.outcome()).result == Result.NOT_SENT
+            while not stand.node.pool.servers[stable_id(b"s-1")].idle:
+                await asyncio.sleep(0)
+            assert peer.connections == 1 and peer.requests.qsize() == 1
+
+    run(test())
+
+
 def test_servers_that_are_gone_are_forgotten() -> None:
     async def test() -> None:
         peer = await Peer(stay_silent).start()
--- a/tests/fronts/test_http.py
+++ b/tests/fronts/test_http.py
@@ -14,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from badgercart.carriers.pool import pool
 from badgercart.core.names import stable_id
 from badgercart.fronts.http import clients, crowd
 from badgercart.fronts.http import connection as machine
@@ -207,7 +208,9 @@
     run(test())
 
 
-def test_at_the_limit_the_longest_idle_client_makes_room() -> None:
+def test_at_the_limit_the_longest_idle_client_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool, "REST", 0.0)  # so many requests, one after the other, on one connection
+
     async def test() -> None:
         async with running(await Peer().start(), sockets=96) as stand:
             limit = stand.node.listener.limit
--- a/tests/net.py
+++ b/tests/net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
@@ -12,8 +13,9 @@
 
 from badgercart.carriers.pool.exchange import Message
 from badgercart.config import Config
+from badgercart.core.join import Held
 from badgercart.core.names import stable_id
-from badgercart.core.ports import Order
+from badgercart.core.ports import Answer, Intake, Order
 from badgercart.fronts.http.clients import ClientConnection
 from badgercart.membership.part import Server
 from badgercart.node import Node
@@ -219,6 +221,16 @@
     return Config(**values | changes)
 
 
+class Nobody:
+    """A front that does nothing with its answers."""
+
+    def answered(self, answer: Answer) -> None: ...
+
+    def refused(self, wait: float) -> None: ...
+
+    def failed(self, broken: bool) -> None: ...
+
+
 class Stand:
     """A running node with what its policy was told."""
 
@@ -255,8 +267,10 @@
             yield connection
 
     def send(self, request_id: int, name: str) -> None:
-        """An attempt that no request stands behind."""
-        pool = self.node.join.out[request_id, 0] = self.node.pool
+        """An attempt that the policy knows nothing of."""
+        join, pool = self.node.join, self.node.pool
+        join.out[request_id, 0] = pool
+        join.held[request_id] = Held(Nobody(), pool, Intake(0, 0, 0, math.inf, None), 0.0, 1)
         pool.send(Order(request_id, 0, stable_id(name.encode()), 5000.0, Message(request()[:-2], b"")))
 
     async def client(self) -> Client:
@@ -271,10 +285,10 @@
 
 
 @asynccontextmanager
-async def running(*peers: Peer, **changes: Any) -> AsyncIterator[Stand]:
+async def running(*peers: Peer, agent: Agent | None = None, **changes: Any) -> AsyncIterator[Stand]:
     """A node that knows these servers as s-1, s-2 and so on."""
     entries = [peer.entry(f"s-{i}") for i, peer in enumerate(peers, 1)]
-    agent = await Agent(entries).start()
+    agent = agent or await Agent(entries).start()
     known = {"generation": 1, "reset": True, "instances": entries}
     node = Node(config(agent.port, **{"known": known} | changes), asyncio.get_running_loop())
     stand = Stand(node, agent)
