Hear of what a silent or cut watch missed before it binds, and take indented lists

Seen by reading, and forced by tests: SILENCE 4.5 s, then a call whose first byte may take 4.5 s: a watch opened anew that hangs heard nothing for 9 s, where 6 s and the grace bind. Any byte passed for life. While an agent is down, calls came up to 3 s apart (1.5 s of patience, 1.5 s of pause), where what it has binds at once as it comes back. An indented list on a watch was malformed line by line, so that every change cost a whole list and a broken watch.

SIGHUP changes the pace with the settings.

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -96,6 +96,7 @@
             zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
             dial_timeout=float(allowed["DialTimeout"]),
             idle_timeout=float(allowed["ConnIdle"]),
+            drain_grace=float(settings["Obligations"]["DrainGrace"]),
             console=parse_address(console) if console else None,
             inherited=parse_descriptor(descriptor) if descriptor else None,
             folder=Path(environ.get("TMPDIR") or "/tmp"),
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -17,7 +17,7 @@
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.clients import ACCEPT_FOR
 from badgercart.fronts.http.front import HttpFront
-from badgercart.membership.catalog import Discovery
+from badgercart.membership.catalog import Discovery, Pace
 from badgercart.membership.entries import ListReader
 from badgercart.retune.retune import Busy, retuned, wants_restart
 from badgercart.upgrade.events import ALONE, BESIDE
@@ -55,7 +55,9 @@
             self.handover.give(self.join.policy, config)
             if not self.lives.alone:
                 self.on_company(False)
-        self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
+        self.discovery = Discovery(
+            config.discovery, self.take_list, random.Random(config.seed), pace=self.pace(config)
+        )
         if config.known.get("instances"):
             try:
                 self.discovery.version = self.take_list(config.known, ListKind.CACHED)
@@ -86,6 +88,11 @@
         if self.door is not None:
             await self.door.start()
 
+    @staticmethod
+    def pace(config: Config) -> Pace:
+        """The settings say whether lists are pushed to an agent of our own, or asked for at one service."""
+        return Pace.shared() if config.settings.ask_for_list else Pace.agent(config.drain_grace)
+
     def unready(self) -> str:
         """Why the node can't serve; empty where it can."""
         if self.front.stopping:
@@ -117,6 +124,7 @@
             what=f": discovery at {new.discovery[0]}:{new.discovery[1]}, {len(new.classes)} classes, "
             f"{new.settings.max_attempts} attempts" + (f"; takes a restart: {restart}" if restart else "")
         )
+        self.discovery.pace = self.pace(self.config)
         renamed = (old.zones, old.kinds) != (self.config.zones, self.config.kinds)
         self.discovery.move(new.discovery, anew=renamed)
 
--- /dev/null
+++ b/tests/ends/test_watch.py
@@ -0,0 +1,167 @@
+"""The ends of a watch, each forced: nothing of the list is missed, and what it misses is heard in time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from badgercart.core.names import stable_id
+from badgercart.membership import catalog
+from badgercart.membership.catalog import SILENCE, Pace
+from cottonhall.interface import State
+from tests.net import WAIT, Agent, Peer, run, running
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Scripted(Agent):
+    """Discovery whose next calls follow scripts, one each; from then on it is as it always is."""
+
+    def __init__(self, instances: list[dict[str, Any]], scripts: list[Script]) -> None:
+        super().__init__(instances, 2)
+        self.scripts = scripts
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self.scripts:
+            await super().serve(reader, writer)
+            return
+        script = self.scripts.pop(0)
+        try:
+            self.calls.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode())
+            await script(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.ended.put_nowait(1)
+            writer.close()
+
+
+async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await reader.read()  # until the node leaves
+
+
+def says(*parts: bytes, then: str = "hang") -> Script:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for part in parts:
+            writer.write(part)
+        if then == "reset":
+            await writer.drain()
+            writer.transport.abort()
+        elif then == "hang":
+            await hang(reader, writer)
+
+    return script
+
+
+def trickle(data: bytes) -> Script:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD)
+        leaving = asyncio.ensure_future(reader.read())
+        while not leaving.done():
+            writer.write(chunk(data))
+            await asyncio.wait([leaving], timeout=0.01)
+
+    return script
+
+
+def cut(peer: Peer) -> bytes:
+    return json.dumps({"generation": 2, "reset": False, "instances": [peer.entry("s-1", "leaving")]}).encode()
+
+
+ENDS: dict[str, tuple[Callable[[Peer], list[Script]], int]] = {
+    # What befalls a watch, and how many whole lists it takes to be sure again.
+    "silent before its first byte": (lambda peer: [hang], 0),
+    "silent before its first byte, twice": (lambda peer: [hang, hang], 0),
+    "silent after its head": (lambda peer: [says(HEAD)], 0),
+    "silent after a sign of life": (lambda peer: [says(HEAD, chunk(b"\n"))], 0),
+    "ended cleanly": (lambda peer: [says(HEAD, chunk(b"\n"), b"0\r\n\r\n", then="close")], 0),
+    "reset before its first line": (lambda peer: [says(HEAD, then="reset")], 0),
+    "reset within a chunk": (lambda peer: [says(HEAD, b"40\r\n{", then="reset")], 0),
+    "silent within a line": (lambda peer: [says(HEAD, chunk(cut(peer)[:60]))], 1),
+    "a line cut, then a sign of life": (lambda peer: [says(HEAD, chunk(cut(peer)[:60] + b"\n\n"))], 1),
+    "a line cut, then ended": (
+        lambda peer: [says(HEAD, chunk(cut(peer)[:60]), b"0\r\n\r\n", then="close")],
+        1,
+    ),
+    "bytes that make no line": (lambda peer: [trickle(b" ")], 0),
+    "a line that never ends": (lambda peer: [trickle(b'{"generation":')], 1),
+    "no such place": (lambda peer: [says(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", then="close")], 0),
+    "no HTTP": (lambda peer: [says(b"hello\r\n\r\n", then="close")], 0),
+}
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_whatever_ends_a_watch_what_it_missed_is_heard(end: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(catalog, "SILENCE", 0.2)
+    monkeypatch.setattr(catalog, "RATE", 64_000_000)
+
+    async def test() -> None:
+        peer, other = await Peer().start(), await Peer().start()
+        scripts, wholes = ENDS[end]
+        number = len(scripts(peer))
+        agent = await Scripted([peer.entry("s-1", "leaving"), other.entry("s-2")], scripts(peer)).start()
+        agent.push(3, [peer.entry("s-1", "leaving"), other.entry("s-2")])
+        known = {"generation": 1, "reset": True, "instances": [peer.entry("s-1"), other.entry("s-2")]}
+        async with running(peer, other, agent=agent, known=known) as stand:
+            while stand.node.roster.version < 3:
+                assert stand.node.discovery.task is not None and not stand.node.discovery.task.done()
+                await asyncio.sleep(0.001)
+            assert stand.node.pool.servers[stable_id(b"s-1")].state is State.DRAINING
+            calls = [agent.calls.get_nowait() for _ in range(agent.calls.qsize())]
+            assert calls.count("/catalog/members") == wholes
+            assert len(calls) == number + wholes + 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("indent", [0, 2, "\t"])
+def test_indented_lists_are_taken_without_asking_for_them_again(indent: Any) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            calls = stand.agent.calls
+            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
+            for generation, state in ((2, "leaving"), (3, "active"), (4, "leaving")):
+                line = {"generation": generation, "reset": False, "instances": [peer.entry("s-1", state)]}
+                stand.agent.lines.put_nowait(json.dumps(line, indent=indent).encode() + b"\n")
+            while stand.node.roster.version < 4:
+                await asyncio.sleep(0)
+            assert stand.node.pool.servers[stable_id(b"s-1")].state is State.DRAINING
+            assert calls.empty()
+
+    run(test())
+
+
+def test_a_whole_list_that_trickles_is_given_up_and_asked_for_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(catalog, "RATE", 64_000_000)
+
+    async def endless(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await trickle(b" ")(reader, writer)
+
+    async def test() -> None:
+        peer = await Peer().start()
+        agent = await Scripted([peer.entry()], [endless]).start()
+        async with running(peer, agent=agent, known={}) as stand:
+            while stand.node.roster.version < 2:
+                await asyncio.sleep(0.001)
+            assert [agent.calls.get_nowait() for _ in range(2)] == ["/catalog/members"] * 2
+
+    run(test())
+
+
+def test_the_times_of_an_agent_leave_room_within_the_grace() -> None:
+    for grace in (250.0, 500.0, 2000.0):
+        pace = Pace.agent(grace)
+        assert pace.call + 1.5 * pace.retry < grace / 1000  # a call that hangs as it comes back, and a pause
+    told, grace = 6.0, 0.5
+    for pace in (Pace.agent(500.0), Pace.shared()):
+        assert SILENCE + pace.call + 1.5 * catalog.RETRY_FIRST < told + grace - pace.call
