Answer all that is owed before a process or a connection ends, and keep read requests' class

(3) The listener closed with clients in its backlog where the limit had paused accepting. (4) A request read behind another on its connection went by numbers alone: after SIGHUP it had the terms of the class that took its number, or the laxer new ones; an unsafe one was sent again. (5) A tenant's number passed on, with its count, while requests of it were about.

Change: Join.leave is the one time by which all fronts answer; at its end what was not written ends as never sent, and the policy ends the rest by a new event (Overdue). A result of 'never sent' ends its request rather than resends it. The listener takes over its backlog before it closes, and ends no connection whose bytes it reads in its next turn. Numbers of requests that are read count as busy; a class whose terms change under them gets a new number; fresh tenants begin at zero.

--- a/badgercart/capture/codec.py
+++ b/badgercart/capture/codec.py
@@ -32,6 +32,7 @@
     ListKind,
     Log,
     Outcome,
+    Overdue,
     PeerMessage,
     Planned,
     Probe,
@@ -57,7 +58,7 @@
 # The numbers stand in files: a new one is added at the end, none is ever used again.
 EVENTS: tuple[type, ...] = (
     ServerList, Request, Began, Outcome, Diverted, Resume, ProbeResult, Timer, PeerMessage, Withdrawn,
-    Whole, Retuned, Company, Planned,
+    Whole, Retuned, Company, Planned, Overdue,
 )  # fmt: skip
 ACTIONS: tuple[type, ...] = (Send, Refuse, Fail, Cancel, Wake, Probe, Subscribe, Log)
 _EVENT_NUMBERS = {kind: number for number, kind in enumerate(EVENTS)}
@@ -92,7 +93,12 @@
     elif kind is Request and event.among is not None:  # type: ignore[union-attr]
         fields = (*fields[:_AMONG], sorted(fields[_AMONG]), *fields[_AMONG + 1 :])
     elif isinstance(event, Retuned):
-        fields = (encode_settings(event.settings), sorted(event.live), sorted(event.fresh))
+        fields = (
+            encode_settings(event.settings),
+            sorted(event.live),
+            sorted(event.fresh),
+            sorted(event.tenants),
+        )
     elif isinstance(event, Planned):
         fields = (event.shares, event.spill, sorted(event.lost), sorted(event.bound), event.strain)
     return _EVENT_NUMBERS[kind], now, fields
@@ -140,8 +146,10 @@
     return event
 
 
-def _retuned(settings: dict[str, Any], live: list[int], fresh: list[int]) -> Retuned:
-    return Retuned(decode_settings(settings), frozenset(live), frozenset(fresh))
+def _retuned(
+    settings: dict[str, Any], live: list[int], fresh: list[int], tenants: Sequence[int] = ()
+) -> Retuned:
+    return Retuned(decode_settings(settings), frozenset(live), frozenset(fresh), frozenset(tenants))
 
 
 def _company(size: int, me: int, may_live: int, parts: list[float], hearsay: list[list[Any]]) -> Company:
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -37,6 +37,7 @@
     Fail,
     Log,
     Outcome,
+    Overdue,
     Refuse,
     Request,
     Result,
@@ -50,6 +51,8 @@
     Withdrawn,
 )
 
+LAST = 30.0  # ms before a node leaves in which its last answers still go out
+
 # Told of each event and of what was decided by it, before that is done; None: the policy raised.
 Tap = Callable[[float, Event, list[Action] | None], None]
 
@@ -80,6 +83,7 @@
         self.leaving: dict[int, Held] = {}  # withdrawn, and the policy has yet to hear of it
         self.events: deque[Event] = deque()
         self.handling = False
+        self.leave_by = math.inf  # ms, after which no answer goes out
         self.observers: tuple[Observer, ...] = ()
         self.watchers: tuple[Watcher, ...] = ()
         self.tap: Tap | None = None
@@ -199,8 +203,23 @@
         self.last_id += 1
         return self.last_id
 
+    def leave(self, by: float) -> None:
+        """The process ends then (ms): what comes has no more time, and what is held is ended ahead of it."""
+        self.leave_by = by - LAST
+        self.timers.call_later(max(self.leave_by - self.clock(), 0.0) / 1000, self.end_all)
+
+    def end_all(self) -> None:
+        """End all that is held: refused where it can't have run, else failed."""
+        for request_id, held in list(self.held.items()):
+            self.forgo(request_id, held)  # what was not written is known not to have run
+            if request_id in self.held:
+                self.tell(Overdue(request_id))
+                self.end(request_id, broken=False)  # where the policy did not know it
+
     def take(self, request_id: int, intake: Intake, front: Front, carrier: Carrier) -> None:
         """Take on a request. The front may be told its answer before this returns."""
+        if intake.whole:
+            intake.due = min(intake.due, self.leave_by)
         self.held[request_id] = Held(front, carrier, intake, self.clock() if self.observers else 0.0)
         event = Request(
             id=request_id,
@@ -220,8 +239,8 @@
     def whole(self, request_id: int, due: float) -> None:
         """A request that was taken on before has come in whole."""
         if (held := self.held.get(request_id)) is not None:
-            held.intake.whole, held.intake.due = True, due
-            self.tell(Whole(request_id, due))
+            held.intake.whole, held.intake.due = True, min(due, self.leave_by)
+            self.tell(Whole(request_id, held.intake.due))
 
     def withdraw(self, request_id: int) -> None:
         """The client has gone away: nothing is owed any more."""
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -7,7 +7,7 @@
 import select
 import socket
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol, cast
 
 from badgercart.config import Address
@@ -133,7 +133,7 @@
     def keep_to(self, limit: int) -> None:
         """Have another limit of connections; those over it that nobody needs make room."""
         self.limit = limit
-        spare = [client for client in self.idle if not client.transport.is_closing()]
+        spare = [client for client in self.idle if not self.spared(client)]
         for client in spare[: max(0, len(self.connections) - limit)]:
             client.transport.close()
 
@@ -155,11 +155,23 @@
         # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
-        self.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
-        while self.connections and now_ms() < until:
+        while (self.socket is not None or self.connections) and now_ms() < until:
+            if self.emptied():
+                self.stop()  # what waited in the backlog would be reset with it
             self.close_idle()
             await asyncio.sleep(DRAIN_LOOK)
+        self.stop()
+
+    def emptied(self) -> bool:
+        """Take over all that waits in the backlog, as far as there is room; whether nothing is left."""
+        while self.socket is not None and len(self.connections) < self.limit:
+            had = len(self.connections)
+            if self.accept():
+                return True
+            if len(self.connections) == had:  # no descriptors
+                return False
+        return self.socket is None
 
     async def hand_over(self, until: float) -> None:
         """Leave new connections to another process, then see clients answered, until then (ms) at most.
@@ -172,7 +184,7 @@
             now = self.loop.time()
             quiet = now - QUIET if now - begun < LATE else now
             for client in self.overdue(self.idle, min(quiet, now - GREETING)):
-                if now - begun > QUIET and not client.unread():
+                if now - begun > QUIET and not self.asks(client):
                     client.transport.close()
             await asyncio.sleep(DRAIN_LOOK)
 
@@ -195,7 +207,8 @@
             self.accepting = True
             self.loop.add_reader(self.socket, self.accept)
 
-    def accept(self) -> None:
+    def accept(self) -> bool:
+        """Take over connections that wait; whether none is left."""
         assert self.socket is not None
         # One waits, or the loop would not have called. A close takes effect in the loop's next turn, which
         # comes back here.
@@ -206,17 +219,18 @@
             try:
                 sock, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return True
             except OSError as error:
                 if error.errno == errno.ECONNABORTED:  # the client was quicker
                     continue
                 ACCEPT_FAILED(error=error)
                 self.pause()  # no descriptor or memory now; the next sweep tries again
-                return
+                return False
             sock.setblocking(False)
             client = ClientConnection(self)
             self.connections.add(client)  # from here on, so that many at once do not pass the limit
             self.loop.create_task(self.take_over(sock, client))
+        return False
 
     async def take_over(self, sock: socket.socket, client: ClientConnection) -> None:
         try:
@@ -242,8 +256,13 @@
 
     @staticmethod
     def spared(client: ClientConnection) -> bool:
-        """Whether it is closing anyway, or has yet to read an answer."""
-        return client.transport.is_closing() or client.transport.get_write_buffer_size() > 0
+        """Whether it is closing anyway, has yet to read an answer, or has sent what is not read yet."""
+        transport = client.transport
+        return transport.is_closing() or transport.get_write_buffer_size() > 0 or client.unread()
+
+    def asks(self, client: ClientConnection) -> bool:
+        """Whether something has come that the loop reads in its next turn, and that an end now would lose."""
+        return client not in self.unheard and client.unread()
 
     @property
     def crowd(self) -> int:
@@ -262,6 +281,12 @@
             client.transport.abort()
         self.looking = self.loop.call_later(LOOK, self.look) if self.unheard else None
 
+    def read_ahead(self) -> Iterator[ClientRequest]:
+        """Requests that were read, and whose turn has not come."""
+        for client in self.connections:
+            if hasattr(client, "machine"):  # else nothing has been read
+                yield from (item for item, _ in client.machine.waiting if isinstance(item, ClientRequest))
+
     def lost(self, client: ClientConnection) -> None:
         self.connections.discard(client)
         self.unheard.discard(client)
@@ -270,9 +295,10 @@
         self.resume()
 
     def close_idle(self) -> None:
-        """What a new client is about to send is still heard."""
+        """What a new client is about to send is still heard, and so is what has come and was not read yet."""
         for client in [*self.overdue(self.silent, self.loop.time() - GREETING), *self.idle]:
-            client.transport.close()
+            if not self.asks(client):
+                client.transport.close()
 
     def sweep(self) -> None:
         """End what has waited for its client for too long; one timer serves all connections."""
@@ -280,18 +306,21 @@
         self.resume()
         now = self.loop.time()
         for client in self.overdue(self.arriving, now - REQUEST_TIME):
-            client.machine.overdue(now)
+            if not self.asks(client):
+                client.machine.overdue(now)
         # A client that does not read its answer has longer than one that has it, but must not stay for ever.
         for client in self.overdue(self.uploading, now - REQUEST_TIME):
-            client.transport.abort()  # its request is withdrawn
+            if not self.asks(client):
+                client.transport.abort()  # its request is withdrawn
         told = [c for c in self.overdue(self.ending, now - LINGER) if not c.transport.get_write_buffer_size()]
+        for client in (*told, *self.overdue(self.ending, now - KEEP_ALIVE)):
+            client.transport.abort()
         for client in (
-            *told,
             *self.overdue(self.silent, now - REQUEST_TIME),
             *self.overdue(self.idle, now - KEEP_ALIVE),
-            *self.overdue(self.ending, now - KEEP_ALIVE),
         ):
-            client.transport.abort()
+            if not self.asks(client):
+                client.transport.abort()
 
     @staticmethod
     def overdue(wait: Wait, before: float) -> list[ClientConnection]:
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -38,7 +38,6 @@
         self.join = join
         self.roster = roster
         self.stopping = False
-        self.leave_by = math.inf  # ms on the join's clock, after which nothing is answered any more
         # A request in flight holds one on either side, but clients also keep what they have opened.
         room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
         servers = room * 3 // 8
@@ -76,7 +75,7 @@
         self.join.take(client.request_id, intake, client, self.pool)
 
     def due(self, request: ClientRequest) -> float:
-        return min(request.sent + request.timeout, self.leave_by) - MARGIN
+        return request.sent + request.timeout - MARGIN
 
     def whole(self, client: ClientConnection, request: ClientRequest) -> None:
         self.join.whole(client.request_id, self.due(request))
@@ -111,7 +110,7 @@
 
     async def hand_over(self, until: float) -> None:
         """Leave new connections to another process, and answer on those that are here, until then (ms)."""
-        self.stopping, self.leave_by = True, until
+        self.stopping = True
         HANDING_OVER(held=len(self.join.held), connections=len(self.listener.connections))
         await self.listener.hand_over(until)
 
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -28,6 +28,8 @@
 
 LIST_PATIENCE = 2.5  # s that a successor waits for discovery, after which it serves by the list that it has
 HANDOVER_FROM = 2.0  # s from its start until a process has learned what is worth keeping
+# ms: SIGKILL comes no sooner than the longest deadline and 0.7 s, but no deadline counts for more than this.
+KILLED_AFTER = 3000.0
 SHARE = 0.5  # of the limits, for each of two processes that live together
 
 
@@ -114,7 +116,15 @@
             CONFIG_KEPT(faults=error)
             return
         old, lines = self.config, [member.entry for member in self.roster.listed.values()]
-        busy = Busy(self.join.policy.busy(), {e.zone for e in lines}, {e.kind for e in lines})
+        classes, tenants = self.join.policy.busy()
+        read = list(self.listener.read_ahead())
+        busy = Busy(
+            classes=classes | {request.cls for request in read},
+            tenants=tenants | {request.tenant for request in read},
+            zones={entry.zone for entry in lines},
+            kinds={entry.kind for entry in lines},
+            read={request.cls for request in read},
+        )
         restart = ", ".join(wants_restart(old, new))
         self.config, event = retuned(old, new, busy)
         self.join.tell(event)
@@ -132,7 +142,8 @@
         """Answer all that is held, and what still comes, then end."""
         if self.handover is not None:
             self.handover.close()  # from now on the next process knows better
-        until = now_ms() + ACCEPT_FOR * 1000 + self.config.longest
+        until = now_ms() + ACCEPT_FOR * 1000 + min(self.config.longest, KILLED_AFTER)
+        self.join.leave(until)
         if self.inherited is not None:
             await self.front.hand_over(until)
         else:
--- a/badgercart/operator/site.py
+++ b/badgercart/operator/site.py
@@ -155,6 +155,7 @@
     async def drain(self) -> None:
         """Answer all that is held, on every part, then end. One deadline holds for all of them."""
         until = now_ms() + ACCEPT_FOR + self.what.config.longest
+        self.join.leave(until)
         for step in reversed(self.steps):
             await self.drain_step(step, until)
         self.close()
--- a/badgercart/retune/retune.py
+++ b/badgercart/retune/retune.py
@@ -15,8 +15,12 @@
     """Numbers that something still goes by, whatever the new configuration names."""
 
     classes: Container[int] = ()
+    tenants: Container[int] = ()
     zones: Container[int] = ()
     kinds: Container[int] = ()
+    read: Container[
+        int
+    ] = ()  # of the classes those of requests that are read, and whose terms nobody holds yet
 
 
 # What only a restart puts in force: in a configuration, and its path in the file.
@@ -32,12 +36,20 @@
 def retuned(old: Config, new: Config, busy: Busy) -> tuple[Config, Retuned]:
     """The new configuration in the numbers of the old one, and the event for the policy.
 
-    Under the number of a class that vanished its old terms stand until another class takes it over."""
-    classes, fresh = renumbered(new.classes, old.classes, busy.classes)
-    tenants, _ = renumbered(new.tenants, old.tenants, ())
+    Under the number of a class that vanished its old terms stand until another class takes it over. One whose
+    terms change while requests of it are read and not taken is another from then on: those keep theirs."""
+    wanted, before = new.settings, old.settings
+    same = {
+        name: number
+        for name, number in old.classes.items()
+        if name not in new.classes
+        or number not in busy.read
+        or wanted.classes[new.classes[name]] == before.classes[number]
+    }
+    classes, fresh = renumbered(new.classes, same, busy.classes)
+    tenants, came = renumbered(new.tenants, old.tenants, busy.tenants)
     zones, _ = renumbered(new.zones, old.zones, busy.zones)
     kinds, _ = renumbered(new.kinds, old.kinds, busy.kinds)
-    wanted, before = new.settings, old.settings
     terms: list[RequestClass] = [*before.classes, *wanted.classes]
     terms = terms[: max(len(before.classes), 1 + max(classes.values()))]
     for name, number in classes.items():
@@ -61,7 +73,7 @@
         zones=zones,
         kinds=kinds,
     )
-    return config, Retuned(settings, frozenset(classes.values()), frozenset(fresh))
+    return config, Retuned(settings, frozenset(classes.values()), frozenset(fresh), frozenset(came))
 
 
 def wants_restart(old: Config, new: Config) -> Iterator[str]:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -260,6 +260,13 @@
     id: int
 
 
+@dataclass(slots=True)
+class Overdue:
+    """No time is left for a request: it is to be ended now."""
+
+    id: int
+
+
 @dataclass(slots=True)
 class Retuned:
     """Other settings from now on; requests that are there keep the terms of their class.
@@ -269,6 +276,7 @@
     settings: Settings
     live: frozenset[int]  # classes that requests may still come with; the others only end
     fresh: frozenset[int] = frozenset()  # classes that begin anew, also where another had their number
+    tenants: frozenset[int] = frozenset()  # the same of tenants
 
 
 @dataclass(slots=True)
@@ -321,6 +329,7 @@
     | Retuned
     | Company
     | Planned
+    | Overdue
 )
 
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -14,7 +14,7 @@
 from cottonhall.fleet import Level, Ring, Sizes
 from cottonhall.interface import (
     MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Company, Diverted, Effect, Event, Fail, Group, Known,
-    ListKind, Log, Outcome, Planned, Refuse, Request, RequestClass, Result, Resume, Retuned, Send,
+    ListKind, Log, Outcome, Overdue, Planned, Refuse, Request, RequestClass, Result, Resume, Retuned, Send,
     ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Whole, Withdrawn,
 )  # fmt: skip
 
@@ -186,6 +186,8 @@
             for i in event.fresh:
                 server.health[i] = Health()
         self.quota_used = (self.quota_used + [0.0] * len(settings.quotas))[: len(settings.quotas)]
+        for i in event.tenants:
+            self.quota_used[i] = 0.0
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.settle_company()
 
@@ -218,12 +220,13 @@
         self.set_bands()
         self.measure_fleet()
 
-    def busy(self) -> set[int]:
-        """Classes that a request or an attempt still has."""
+    def busy(self) -> tuple[set[int], set[int]]:
+        """Classes and tenants that a request or an attempt still has."""
         jobs = [*self.jobs.values()]
         for server in self.servers.values():
             jobs += [*(job for job, _ in server.open.values()), *server.uploads.values()]
-        return {job.request.cls for job in [*jobs, *self.streams.values()]}
+        requests = [job.request for job in (*jobs, *self.streams.values())]
+        return {request.cls for request in requests}, {request.tenant for request in requests}
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now = now
@@ -252,6 +255,9 @@
             self.on_company(event)
         elif isinstance(event, Planned):
             self.on_planned(event)
+        elif isinstance(event, Overdue):
+            if (late := self.jobs.get(event.id)) is not None:
+                self.end(late)
         elif isinstance(event, Timer):
             if event.token == SUBSCRIBE:
                 self.out.append(Subscribe())
@@ -680,8 +686,8 @@
 
     def go_on(self, job: Job, result: int) -> None:
         """Send a request again whose attempt ended so, or end it."""
-        if result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
-            self.end(job)  # resending feeds a jam, also of connections being made
+        if result in (Result.TIMEOUT, Result.NOT_SENT) or self.random.random() < max(self.x, self.no_link):
+            self.end(job)  # its time is over; and resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
 
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -253,7 +253,7 @@
     names = [kind.__name__ for kind in (*codec.EVENTS, *codec.ACTIONS)]
     assert names == [
         "ServerList", "Request", "Began", "Outcome", "Diverted", "Resume", "ProbeResult", "Timer",
-        "PeerMessage", "Withdrawn", "Whole", "Retuned", "Company", "Planned", "Send", "Refuse", "Fail",
-        "Cancel", "Wake", "Probe", "Subscribe", "Log",
+        "PeerMessage", "Withdrawn", "Whole", "Retuned", "Company", "Planned", "Overdue", "Send", "Refuse",
+        "Fail", "Cancel", "Wake", "Probe", "Subscribe", "Log",
     ]  # fmt: skip
     assert [kind.value for kind in Kind] == [1, 2, 3, 4, 5, 6] and format.VERSION == 2
--- a/tests/ends/test_leaving.py
+++ b/tests/ends/test_leaving.py
@@ -29,6 +29,11 @@
 
         monkeypatch.setattr(ServerPool, "connect", gated)
 
+    def close(self) -> None:
+        self.opened.clear()
+        while self.held.qsize():
+            self.held.get_nowait()
+
     async def reached(self) -> Attempt:
         return await asyncio.wait_for(self.held.get(), WAIT)
 
@@ -48,7 +53,7 @@
     async def test() -> None:
         peer = await Peer().start()
         async with running(peer, **settings(may_cancel)) as stand:
-            gate = Gate(monkeypatch)
+            gate, stays, written = Gate(monkeypatch), await stand.client(), 0
             for _ in range(20):
                 client = await stand.client()
                 client.writer.write(request(cls))
@@ -58,10 +63,17 @@
                 else:
                     client.writer.close()
                 await stand.event(Withdrawn)
-            gate.opened.set()
-            stays = await stand.client()
-            assert (await stays.ask(request(cls)))[0] == 200  # behind those that would have been written
-            assert peer.requests.qsize() == 1
+                gate.opened.set()
+                assert (await stays.ask(request(cls)))[0] == 200  # behind what would have been written
+                written += peer.requests.qsize() - 1
+                while peer.requests.qsize():
+                    peer.requests.get_nowait()
+                for server in stand.node.pool.servers.values():
+                    for connection in server.idle:
+                        connection.transport.abort()
+                await asyncio.wait_for(peer.ended.get(), WAIT)
+                gate.close()
+            assert written == 0
             assert not stand.node.pool.attempts and not stand.node.join.out and not stand.node.join.leaving
 
     run(test())
--- a/tests/policy/test_six_rules.py
+++ b/tests/policy/test_six_rules.py
@@ -38,7 +38,7 @@
     names = {cls: at for at, cls in live.items()}
     wanted = [cls for at, cls in enumerate(CLASSES) if number >> at & 1] or [UNSAFE]
     numbers, fresh = renumbered([str(c) for c in wanted], {str(c): at for c, at in names.items()},
-                                stage.policy.busy())  # fmt: skip
+                                stage.policy.busy()[0])  # fmt: skip
     now = {numbers[str(cls)]: cls for cls in wanted}
     terms = [*stage.config.classes, *[UNSAFE] * len(CLASSES)][: max(len(stage.config.classes), 1 + max(now))]
     for at, cls in now.items():
--- a/tests/retune/test_reload.py
+++ b/tests/retune/test_reload.py
@@ -5,12 +5,18 @@
 import asyncio
 import json
 import signal
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+import pytest
 import uvloop
 
-from tests.net import WAIT, Agent, Client, Peer, hang_up, held_back, request
+from badgercart.config import Config
+from badgercart.retune.retune import Busy, retuned
+from cottonhall import Policy
+from cottonhall.interface import Request
+from tests.net import WAIT, Agent, Client, Peer, config, hang_up, held_back, request
 from tests.test_process import Process, raw_config, started
 
 
@@ -81,3 +87,63 @@
                 assert await sends(request("pay", body=b"x")) == 1  # reset: it may have run
 
     uvloop.run(test())
+
+
+@pytest.mark.parametrize("then", [[("look", "free")], [("pay", "free")]], ids=["another", "the same, laxer"])
+def test_a_request_that_waits_for_its_turn_keeps_the_class_that_it_was_read_by(
+    tmp_path: Path, then: list[tuple[str, str]]
+) -> None:
+    """Behind another on its connection, it is read before the new settings and taken after them."""
+    release = asyncio.Event()
+
+    async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        if b"/pay/" in head:
+            writer.transport.abort()  # it may have run
+        else:
+            await held_back(release)(peer, head, writer)
+
+    async def test() -> None:
+        peers = [await Peer(script).start() for _ in range(3)]
+        agent = await Agent([peer.entry(f"s-{i}") for i, peer in enumerate(peers)]).start()
+        path = tmp_path / "config.json"
+        async with started(path, agent.port) as node:
+            both = classes(("find", "free"), ("pay", "single_shot"))
+            assert await hup(node, path, agent.port, Classes=both) == "configuration read"
+            client = await node.client()
+            client.writer.write(request("find") + request("pay", body=b"x"))
+            first = [asyncio.ensure_future(peer.requests.get()) for peer in peers]
+            await asyncio.wait(first, return_when=asyncio.FIRST_COMPLETED)
+            told = classes(("find", "free"), *then)
+            assert await hup(node, path, agent.port, Classes=told) == "configuration read"
+            release.set()
+            assert (await client.answer())[0] == 200
+            assert (await client.answer())[0] == 502  # never a second time, nor called harmless
+            for task in first:
+                task.cancel()
+            came = sum(peer.requests.qsize() + task.done() for peer, task in zip(peers, first, strict=True))
+            assert came == 1 or sum(peer.connections for peer in peers) <= 2
+            other = await node.client()
+            answered = await other.ask(request("find").replace(b"/find/", f"/{then[0][0]}/".encode()))
+            assert answered[0] in ((200,) if then[0][0] == "look" else (502, 503))
+
+    uvloop.run(test())
+
+
+def test_no_number_of_a_tenant_passes_to_another_while_requests_of_it_are_about() -> None:
+    def told(*names: bytes) -> Config:
+        tenants = {name: number for number, name in enumerate(names)}
+        base = config(1)
+        quotas = tuple(10.0 + number for number in range(len(names)))
+        return replace(base, tenants=tenants, settings=replace(base.settings, quotas=quotas))
+
+    old, new = told(b"a", b"b"), told(b"a", b"c")
+    held, event = retuned(old, new, Busy(tenants={1}))
+    assert held.tenants == {b"a": 0, b"c": 2} and event.tenants == {2}
+    assert event.settings.quotas == (10.0, 0.0, 11.0)
+    free, event = retuned(old, new, Busy())
+    assert free.tenants == {b"a": 0, b"c": 1} and event.tenants == {1}
+    policy = Policy(old.settings, 1)
+    policy.handle(0.0, Request(1, 0, 1000.0, tenant=1))
+    assert policy.quota_used[1] == 1 and policy.busy()[1] <= {1}
+    policy.handle(0.0, event)
+    assert policy.quota_used == [0.0, 0.0]  # what the other used is not this one's
