--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -83,6 +83,7 @@
         self.leaving: dict[int, Held] = {}  # withdrawn, and the policy has yet to hear of it
         self.events: deque[Event] = deque()
         self.handling = False
+        self.spoilt: Event | None = None  # the last that the policy broke over
         self.leave_by = math.inf  # ms, after which no answer goes out
         self.observers: tuple[Observer, ...] = ()
         self.watchers: tuple[Watcher, ...] = ()
@@ -125,6 +126,7 @@
                 except Exception:
                     if self.tap is not None and not decided:
                         self.tap(now, event, None)
+                    self.spoilt = event
                     # One request must not take the node down with it; it still is owed an answer.
                     POLICY_FAILED(True, kind=type(event).__name__, request=getattr(event, "id", 0))
                     if isinstance(event, Request | Outcome | Diverted | Resume):
--- a/badgercart/core/roster.py
+++ b/badgercart/core/roster.py
@@ -59,9 +59,14 @@
         self.ids: dict[Address, int] = {}  # the last server that was listed at an address
 
     def take(self, raw: Mapping[str, Any], kind: ListKind | None = None) -> int:
-        """Take over a list or its changes, and give its version; ValueError where the reader gives it."""
+        """Take over a list or its changes, and give its version; ValueError where the reader gives it.
+
+        ValueError, too, where the policy broke over it: carriers have it then, and it is to come again."""
         told = self.reader.read(raw, kind)
         self.apply(told)
+        if isinstance(self.join.spoilt, ServerList) and self.join.spoilt.version == told.version:
+            self.join.spoilt = None
+            raise ValueError(f"the policy could not take list {told.version}")
         return told.version
 
     def apply(self, told: MemberList) -> None:
--- a/tests/ends/test_watch.py
+++ b/tests/ends/test_watch.py
@@ -13,7 +13,7 @@
 from badgercart.membership import catalog
 from badgercart.membership.catalog import SILENCE, Pace
 from cottonhall.interface import State
-from tests.net import WAIT, Agent, Peer, run, running
+from tests.net import WAIT, Agent, Peer, request, run, running
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -165,3 +165,39 @@
     told, grace = 6.0, 0.5
     for pace in (Pace.agent(500.0), Pace.shared()):
         assert SILENCE + pace.call + 1.5 * catalog.RETRY_FIRST < told + grace - pace.call
+
+
+def test_a_list_that_the_policy_breaks_over_is_asked_for_again_whole(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Else the pool would go by it and the policy not."""
+
+    async def test() -> None:
+        peer, other = await Peer().start(), await Peer().start()
+        async with running(peer, other) as stand:
+            assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
+            policy, left = stand.node.join.policy, 1
+            settle = policy.settle
+
+            def broken() -> None:
+                nonlocal left
+                left -= 1
+                if left == 0:
+                    raise ArithmeticError("a fault of ours")
+                settle()
+
+            policy.settle = broken  # type: ignore[method-assign]
+            leaving = [peer.entry("s-1", "leaving"), other.entry("s-2")]
+            stand.agent.whole = {"generation": 2, "reset": True, "instances": leaving}
+            stand.agent.push(2, leaving[:1])
+            assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == "/catalog/members"
+            assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == "/catalog/members?watch=1&from=2"
+            drained = stable_id(b"s-1")
+            assert drained not in policy.ready and policy.servers[drained].entry.state is State.DRAINING
+            client = await stand.client()
+            for _ in range(6):
+                assert (await client.ask(request()))[0] == 200
+            assert peer.requests.empty() and other.requests.qsize() == 6
+            assert "the policy could not take list 2" in caplog.text
+
+    run(test())
