Have a process that is told twice to end answer what it holds at a hung server

Need: this suspect was kept by reading alone. Added: a real process with a request that has 60 s, a server that never answers, and SIGTERM three times: 503 with the connection's end, and exit status 0. It was not seen to fail: it guards a stated promise, and on the older code the attempt's own time ended it first.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,7 @@
 import pytest
 import uvloop
 
-from tests.net import WAIT, Agent, Client, Peer, field, held_back, request
+from tests.net import WAIT, Agent, Client, Peer, field, held_back, request, stay_silent
 from tests.policy.test_wire import SETTINGS
 
 COMMAND = [sys.executable, "-B", "-m", "badgercart"]
@@ -165,3 +165,25 @@
             assert await asyncio.wait_for(node.process.wait(), WAIT) == 0
 
     uvloop.run(test())
+
+
+def test_sigterm_twice_and_a_hung_server_still_end_with_an_answer(tmp_path: Path) -> None:
+    """Its request has longer than the process: it is answered by then all the same."""
+
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        agent = await Agent([peer.entry()]).start()
+        async with started(tmp_path / "config.json", agent.port) as node:
+            client = await node.client()
+            client.writer.write(request(timeout="60000m"))
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            for _ in range(2):
+                node.process.send_signal(signal.SIGTERM)
+            await node.line("stopping")
+            node.process.send_signal(signal.SIGTERM)
+            status, head, _ = await client.answer()
+            assert (status, field(head, b"Connection")) == (503, b"close")
+            client.writer.close()
+            assert await asyncio.wait_for(node.process.wait(), WAIT) == 0
+
+    uvloop.run(test())
