--- a/lab/trial/world.py
+++ b/lab/trial/world.py
@@ -16,7 +16,7 @@
 from standins import http1
 from standins.catalog import Catalog
 from standins.server import DispatchServer
-from standins.traffic import KINDS, TENANTS, Arrival, Result, arrivals, ask
+from standins.traffic import TENANTS, Arrival, Result, arrivals, ask, class_tables
 
 WORK = {"cab-lookup": (5.0, 15.0), "ride-assign": (8.0, 20.0)}  # ms
 PEERS_PORT = 7946
@@ -166,12 +166,7 @@
             '[members]\ncatalog = "{}:{}"'.format(*self.switch.places[LIST].shown),
             f'[fronts.http]\nlisten = "{real}:0"',
         ]
-        for kind in KINDS:
-            lines += [
-                f'[[class]]\nname = "{kind.name}"\naim_ms = {kind.aim}\ndeadline_ms = {kind.deadline}',
-                f'worth = {kind.worth}\neffect = "{"keyed" if kind.keyed else "safe"}"',
-                "window_ms = 6000" if kind.keyed else "",
-            ]
+        lines += class_tables()
         for name, share in TENANTS.items():
             lines.append(f'[[tenant]]\nname = "{name}"\nquota_per_s = {shape.quota * share:.3f}')
         if shape.peers:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,7 +9,7 @@
 
 from standins.catalog import Catalog
 from standins.server import DispatchServer
-from standins.traffic import KINDS, TENANTS
+from standins.traffic import TENANTS, class_tables
 
 if TYPE_CHECKING:
     from standins.etcd import Etcd
@@ -97,12 +97,7 @@
         "cold_from = 0.32\nramp_ms = 8800\nwarm_keys = true",
         "[retry]\nmax_attempts = 4\nmax_retry_after_ms = 600",
     ]
-    for kind in KINDS:
-        lines += [
-            f'[[class]]\nname = "{kind.name}"\naim_ms = {kind.aim}\ndeadline_ms = {kind.deadline}',
-            f'worth = {kind.worth}\neffect = "{"keyed" if kind.keyed else "safe"}"',
-            "window_ms = 6000" if kind.keyed else "",
-        ]
+    lines += class_tables()
     for name, share in TENANTS.items():
         lines.append(f'[[tenant]]\nname = "{name}"\nquota_per_s = {QUOTA * share:.0f}')
     if etcd:
--- a/standins/traffic.py
+++ b/standins/traffic.py
@@ -41,6 +41,18 @@
 KINDS = (LOOKUP, ASSIGN)
 
 
+def class_tables() -> list[str]:
+    """These classes as lines of an operator's file."""
+    lines: list[str] = []
+    for kind in KINDS:
+        lines += [
+            f'[[class]]\nname = "{kind.name}"\naim_ms = {kind.aim}\ndeadline_ms = {kind.deadline}',
+            f'worth = {kind.worth}\neffect = "{"keyed" if kind.keyed else "safe"}"',
+            "window_ms = 6000" if kind.keyed else "",
+        ]
+    return lines
+
+
 @dataclass(slots=True, frozen=True)
 class Arrival:
     """A request to come: all of it is drawn ahead."""
--- a/tests/policy/support.py
+++ b/tests/policy/support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from dataclasses import replace
 
 from cottonhall.interface import (
@@ -126,6 +127,15 @@
     def give_failed_list(self) -> list[object]:
         return self.give(ServerList(ListKind.FAILED, 0, []))
 
+    def go_on(self, number: int, rng: random.Random) -> None:
+        """What befalls servers and attempts at the step of this number: a line of the list, some outcomes."""
+        if number % 20 == 9:
+            started = self.now if rng.random() < 0.5 else 0.0
+            self.list([server(rng.randrange(8), rng.choice((State.READY, State.DRAINING)), started)])
+        for request, attempt in [key for key in self.open if rng.random() < 0.3]:
+            result = rng.choice((Result.OK, Result.OK, Result.ERROR, Result.FULL))
+            self.outcome(request, attempt, result, rng.uniform(10, 200))
+
     def whole(self, request: int, due_in: float) -> None:
         """The rest of a request has come: from now on its time counts, and its attempt's."""
         self.give(Whole(request, self.now + due_in))
--- a/tests/policy/test_company.py
+++ b/tests/policy/test_company.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cottonhall.interface import Company, Result, Send, State
+from cottonhall.interface import Company, Result, Send
 from cottonhall.rules import HEARSAY, SUSPECT_AT, Policy
 from tests.policy.support import Stage, server
 from tests.policy.support import settings as terms
@@ -25,12 +25,7 @@
     for number in range(150):
         stage.advance(rng.expovariate(1 / 15))
         stage.request(rng.randrange(3), key=rng.randrange(20), tenant=rng.randrange(2))
-        if number % 20 == 9:
-            started = stage.now if rng.random() < 0.5 else 0.0
-            stage.list([server(rng.randrange(8), rng.choice((State.READY, State.DRAINING)), started)])
-        for request, attempt in [key for key in stage.open if rng.random() < 0.3]:
-            result = rng.choice((Result.OK, Result.OK, Result.ERROR, Result.FULL))
-            stage.outcome(request, attempt, result, rng.uniform(10, 200))
+        stage.go_on(number, rng)
     return stage.log
 
 
--- a/tests/policy/test_planned.py
+++ b/tests/policy/test_planned.py
@@ -29,12 +29,7 @@
         stage.request(
             rng.randrange(len(stage.config.classes)), key=rng.randrange(20), tenant=rng.randrange(2)
         )
-        if number % 20 == 9:
-            started = stage.now if rng.random() < 0.5 else 0.0
-            stage.list([server(rng.randrange(8), rng.choice((State.READY, State.DRAINING)), started)])
-        for request, attempt in [key for key in stage.open if rng.random() < 0.3]:
-            result = rng.choice((Result.OK, Result.OK, Result.ERROR, Result.FULL))
-            stage.outcome(request, attempt, result, rng.uniform(10, 200))
+        stage.go_on(number, rng)
     return stage
 
 
