Open the next call to discovery beside one that says nothing, so that 6 s hold

A change counts as told 6 s after discovery had it and could be reached, whatever calls fail meanwhile. The worst sum from the constants was 9.5 s: a silent watch (3 s), two calls that come up late and say nothing (1.5 s for the connection and 1.5 s for the first byte, each), and the pauses; 9 s behind an outage; 9.5 s with two calls that send a head and no more.

To blame: Discovery.call (a limit for the connection and another for the first byte), follow (SILENCE behind a head) and run (a pause behind each call that had been waited for, up to 1.5 s).

The change: membership/tries.py says when, without I/O; catalog.py opens the next call beside one that has said nothing whole, after 1 to 1.25 s (twice), then 1.5 to 1.875 s. The first that speaks stays, three are open at most. Worst sums now 5.6 s. A watch that ends soon behind its first line no longer brings the next call at once.

The file of tests that played watches follows the moved names (RETRY_FIRST, Pace); nothing in it is eased.

--- a/badgercart/membership/catalog.py
+++ b/badgercart/membership/catalog.py
@@ -1,11 +1,12 @@
-"""The server list: the first whole list, then a watch, opened anew whenever it ends."""
+"""The server list: the first whole list, then a watch, opened anew whenever it ends or falls silent."""
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from contextlib import suppress
 from typing import Any
 
 import httptools
@@ -13,37 +14,17 @@
 from badgercart.config import Address
 from badgercart.membership.events import CATALOG_BROKEN, CATALOG_FAILED
 from badgercart.membership.texts import MOST, Texts, read
+from badgercart.membership.tries import MOST as MOST_CALLS
+from badgercart.membership.tries import Pace, Tries
 
 PATH = "/catalog/members"
 # A line is due every 2 s, if only an empty one, and a change counts as told 6 s after the last one, though it
 # never arrived. A watch that has said nothing for so long, in s, is opened anew, with half of that time left
-# for it: a first call may hang.
+# for it: two calls may hang.
 SILENCE = 3.0
-RETRY_FIRST = 0.05  # s before the next try
 RATE = 64_000  # bytes a second that a list comes in with at least
 
 
-@dataclass(slots=True, frozen=True)
-class Pace:
-    """How patient calls are, and how soon they are made again."""
-
-    call: float  # s for a connection to come up, for an answer to begin, and for a list that has begun
-    retry: float  # s between tries, at most half as much again
-
-    @classmethod
-    def shared(cls) -> Pace:
-        """One service for all nodes: it works through calls in turn, and must be spared."""
-        return cls(call=1.5, retry=1.0)
-
-    @classmethod
-    def agent(cls, grace: float) -> Pace:
-        """An agent of the node's own, which answers at once. Whatever it has counts as told.
-
-        When it comes back, what it has must be heard within the grace (ms) in which a server that drains may
-        still be sent something: one call that hangs and one pause take four fifths of that."""
-        return cls(call=grace / 2 / 1000, retry=grace / 5 / 1000)
-
-
 class DiscoveryError(Exception):
     """A call that gave no list, or a watch that ended: what came instead."""
 
@@ -55,7 +36,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.data = bytearray()
         self.size = 0  # of it so far
-        self.begun = self.complete = False
+        self.complete = False
 
     def on_body(self, body: bytes) -> None:
         self.data += body
@@ -70,7 +51,7 @@
     def on_message_complete(self) -> None:
         self.complete = True
 
-    async def more(self, reader: asyncio.StreamReader, until: float) -> None:
+    async def more(self, reader: asyncio.StreamReader, until: float | None = None) -> None:
         """Read on, until a moment of the loop's clock at the latest. Raises TimeoutError, DiscoveryError."""
         async with asyncio.timeout_at(until):
             chunk = await reader.read(65536)
@@ -79,11 +60,26 @@
         self.parser.feed_data(chunk)
         if self.parser.get_status_code() not in (0, 200):
             raise DiscoveryError(f"status {self.parser.get_status_code()}")
-        self.begun = True
         if len(self.data) > MOST:
             raise DiscoveryError("a list over the limit")
 
 
+class Call:
+    """One call, for the whole list or for a watch."""
+
+    def __init__(self, whole: bool, begun: float) -> None:
+        self.whole = whole
+        self.begun = begun  # on the loop's clock
+        self.heard = math.inf  # when something of it first came whole
+        self.body = Body()
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def credit(self) -> float:
+        """When it began, for one whose bytes come on: later by the time that these may take."""
+        return self.begun + self.body.size / RATE
+
+
 class Discovery:
     """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
 
@@ -99,18 +95,23 @@
         self.address = address
         self.local = (source, 0) if source else None
         self.on_list = on_list
-        self.random = rng
+        self.tries = Tries(rng)
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
-        self.retry = RETRY_FIRST
         self.failing = False
+        self.calls: list[Call] = []  # that are out, the first first; one that was heard is out alone
+        self.due = -math.inf  # when the next is opened, on the loop's clock
+        self.beside = 0.0  # s from the last call's start, if nothing comes of it
+        self.woken = asyncio.Event()  # something above has changed
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
+        self.due = -math.inf
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
+        self.drop(self.calls)
 
     def move(self, address: Address, anew: bool = False) -> None:
         """Leave the old watch at once. Another service counts its versions anew: fetch the whole list."""
@@ -118,77 +119,133 @@
             return  # asked again and again, it must not begin again and again
         self.close()
         self.address, self.version = address, None
-        self.retry, self.failing = RETRY_FIRST, False
+        self.tries, self.failing = Tries(self.tries.random), False
         self.start()
 
     async def run(self) -> None:
+        """Open calls as they are due."""
+        loop = asyncio.get_running_loop()
         while True:
-            try:
-                if self.version is None:
-                    await self.call(PATH, whole=True)
-                await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
-            except (OSError, DiscoveryError, httptools.HttpParserError) as error:
-                if not self.failing:  # one line for each stretch of failures
-                    CATALOG_FAILED(error=str(error) or type(error).__name__)
-                self.failing = True
-            except Exception:
-                # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
-                CATALOG_BROKEN(True)
-                self.version = None
-            # Nodes that lost discovery together must not come back together.
-            await asyncio.sleep(self.retry * (0.5 + self.random.random()))
-            self.retry = min(2 * self.retry, self.pace.retry)
-
-    async def call(self, path: str, whole: bool) -> None:
+            self.woken.clear()
+            if loop.time() < self.due:
+                with suppress(TimeoutError):
+                    async with asyncio.timeout_at(None if self.due == math.inf else self.due):
+                        await self.woken.wait()
+            else:
+                # A list that comes slowly, but comes on, is waited for.
+                coming = self.calls[-1].credit + self.beside if self.calls else -math.inf
+                if loop.time() < coming:
+                    self.due = coming
+                else:
+                    self.open(loop.time())
+
+    def open(self, now: float) -> None:
+        if self.calls:
+            self.note(f"no answer in {self.beside:.1f} s")
+        if len(self.calls) >= MOST_CALLS:
+            self.drop([min(self.calls, key=lambda call: call.credit)])
+        call = Call(self.version is None, now)
+        self.calls.append(call)
+        self.beside = self.tries.beside(self.pace)
+        self.due = now + self.beside
+        call.task = asyncio.get_running_loop().create_task(self.attend(call))
+
+    def drop(self, calls: list[Call]) -> None:
+        for call in list(calls):
+            self.calls.remove(call)
+            if call.task is not None:
+                call.task.cancel()
+
+    def note(self, error: str) -> None:
+        if not self.failing:  # one line for each stretch of failures
+            CATALOG_FAILED(error=error)
+        self.failing = True
+
+    async def attend(self, call: Call) -> None:
+        """See a call to its end, and say when the next is due."""
+        now = asyncio.get_running_loop().time
+        try:
+            await self.carry_out(call)
+        except (OSError, DiscoveryError, httptools.HttpParserError) as error:
+            self.note(str(error) or type(error).__name__)
+        except Exception:
+            # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
+            CATALOG_BROKEN(True)
+            self.version = None
+        if call not in self.calls:
+            return  # another was heard first
+        self.calls.remove(call)
+        if call.whole and call.heard < math.inf:
+            self.due = now()  # the watch
+        else:
+            if self.version is None:  # watches go on from a list that is not to be trusted
+                self.drop([other for other in self.calls if not other.whole])
+            if call.heard < math.inf:
+                self.tries.lived(now() - call.heard, self.pace)
+            if not self.calls:
+                self.due = now() + self.tries.pause(self.pace)
+        self.woken.set()
+
+    def heard(self, call: Call) -> None:
+        """Something came whole: this call stays, and those beside it end."""
+        self.tries.heard()
+        self.failing = False
+        if call.heard == math.inf:
+            call.heard, self.due = asyncio.get_running_loop().time(), math.inf
+            self.drop([other for other in self.calls if other is not call])
+            self.woken.set()
+
+    async def carry_out(self, call: Call) -> None:
         host, port = self.address
-        async with asyncio.timeout(self.pace.call):
-            reader, writer = await asyncio.open_connection(host, port, local_addr=self.local)
+        path = PATH if call.whole else f"{PATH}?watch=1&from={self.version}"
+        reader, writer = await asyncio.open_connection(host, port, local_addr=self.local)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            await (self.fetch(reader) if whole else self.follow(reader))
+            await (self.fetch(call, reader) if call.whole else self.follow(call, reader))
         finally:
             writer.close()
 
-    async def fetch(self, reader: asyncio.StreamReader) -> None:
-        """The whole list, which may come slowly, but has to come on."""
-        body, begun = Body(), asyncio.get_running_loop().time()
-        while not body.complete:
-            await body.more(reader, begun + self.pace.call + body.size / RATE)
-        self.take(lambda: [read(body.taken())])
+    async def fetch(self, call: Call, reader: asyncio.StreamReader) -> None:
+        """The whole list. Where it does not come on, another call is opened beside this one."""
+        while not call.body.complete:
+            await call.body.more(reader)
+        self.take(call, lambda: [read(call.body.taken())])
 
-    async def follow(self, reader: asyncio.StreamReader) -> None:
+    async def follow(self, call: Call, reader: asyncio.StreamReader) -> None:
         """Changes, as they come. Raises when the watch ends or is silent: bytes alone are no life."""
-        loop, body, texts = asyncio.get_running_loop(), Body(), Texts()
+        loop, body, texts = asyncio.get_running_loop(), call.body, Texts()
         alive = part = loop.time()  # when a line last came whole; since when a list has not
         came = 0  # bytes before that list
         while not body.complete:
-            until = alive + SILENCE
-            if not body.begun:
-                until = alive + self.pace.call
-            elif texts.partial:
+            until = None  # at first it is not waited for, but the next call is opened beside it
+            if texts.partial:
                 until = part + self.pace.call + (body.size - came) / RATE
+            elif call.heard < math.inf:
+                until = alive + SILENCE
             try:
                 await body.more(reader, until)
             except TimeoutError:
                 if texts.partial:
-                    self.take(texts.end)  # which says that it is cut, unless only its line's end is missing
+                    self.take(
+                        call, texts.end
+                    )  # which says that it is cut, unless only its line's end is missing
                 raise
-            found = self.take(lambda: texts.feed(body.taken()))
+            found = self.take(call, lambda: texts.feed(body.taken()))
             if found:
                 alive = loop.time()
             if found or not texts.partial:
                 part, came = loop.time(), body.size
-        self.take(texts.end)
+        self.take(call, texts.end)
         raise DiscoveryError("the watch ended")
 
-    def take(self, lists: Callable[[], list[dict[str, Any] | None]]) -> int:
+    def take(self, call: Call, lists: Callable[[], list[dict[str, Any] | None]]) -> int:
         """Take over lists as they are read; how many came, signs of life too. Raises DiscoveryError."""
         try:
             found = lists()
             for told in found:
                 if told is not None:
                     self.version = self.on_list(told)
-                self.retry, self.failing = RETRY_FIRST, False
+                self.heard(call)
         except ValueError as error:
             # A change may have been missed with it: only the whole list brings it back.
             self.version = None
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -17,8 +17,9 @@
 from badgercart.core.roster import Roster
 from badgercart.fronts.http.clients import ACCEPT_FOR
 from badgercart.fronts.http.front import HttpFront
-from badgercart.membership.catalog import Discovery, Pace
+from badgercart.membership.catalog import Discovery
 from badgercart.membership.entries import ListReader
+from badgercart.membership.tries import Pace
 from badgercart.retune.retune import Busy, retuned, wants_restart
 from badgercart.upgrade.events import ALONE, BESIDE
 from badgercart.upgrade.handover import Handover
--- a/tests/ends/test_watch.py
+++ b/tests/ends/test_watch.py
@@ -11,7 +11,8 @@
 
 from badgercart.core.names import stable_id
 from badgercart.membership import catalog
-from badgercart.membership.catalog import SILENCE, Pace
+from badgercart.membership.catalog import SILENCE
+from badgercart.membership.tries import RETRY_FIRST, Pace
 from cottonhall.interface import State
 from tests.net import WAIT, Agent, Peer, request, run, running
 
@@ -164,7 +165,7 @@
         assert pace.call + 1.5 * pace.retry < grace / 1000  # a call that hangs as it comes back, and a pause
     told, grace = 6.0, 0.5
     for pace in (Pace.agent(500.0), Pace.shared()):
-        assert SILENCE + pace.call + 1.5 * catalog.RETRY_FIRST < told + grace - pace.call
+        assert SILENCE + pace.call + 1.5 * RETRY_FIRST < told + grace - pace.call
 
 
 def test_a_list_that_the_policy_breaks_over_is_asked_for_again_whole(
--- a/tests/ends/virtual.py
+++ b/tests/ends/virtual.py
@@ -1,11 +1,11 @@
-"""A loop whose time is its own, and ways to servers that a test opens, answers on and cuts."""
+"""A loop whose time is its own, ways to servers that a test opens, answers on and cuts, services by port."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import selectors
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from badgercart.carriers.pool.pool import ServerConnection
@@ -39,6 +39,7 @@
         super().__init__(Still(self.let_pass))  # type: ignore[arg-type]
         self.dials: list[Dial] = []
         self.ways = 0
+        self.services: dict[int, Callable[[Callable[[], Any]], Awaitable[Any]]] = {}  # what answers at a port
         self.quiet_end, self.other_end = os.pipe()
 
     def let_pass(self, passed: float) -> None:
@@ -48,6 +49,8 @@
         return self.now
 
     async def create_connection(self, factory: Any, *args: Any, **options: Any) -> Any:  # type: ignore[override]
+        if args[1] in self.services:
+            return await self.services[args[1]](factory)
         dial = Dial(self, factory, args[1])
         self.dials.append(dial)
         return await dial.up
