Keep the first call to discovery for 10 s beside later ones: a slow first list is heard

Cause: a process that knows no list is ready with the first whole one, and Discovery gave up each call after 1.5 s: with a service whose answers take 1.7 s, or that works through 200 calls in turn at 20 ms each and does not skip those given up, no process was ever ready. Ruled out: `known` (ready at once, whatever discovery does), the console and the successor's LIST_PATIENCE, which do not wait on calls.

The change: with three calls open the second makes room for another, the first only after 10 s.

--- a/badgercart/membership/catalog.py
+++ b/badgercart/membership/catalog.py
@@ -15,7 +15,7 @@
 from badgercart.membership.events import CATALOG_BROKEN, CATALOG_FAILED
 from badgercart.membership.texts import MOST, Texts, read
 from badgercart.membership.tries import MOST as MOST_CALLS
-from badgercart.membership.tries import Pace, Tries
+from badgercart.membership.tries import PATIENCE, Pace, Tries
 
 PATH = "/catalog/members"
 # A line is due every 2 s, if only an empty one, and a change counts as told 6 s after the last one, though it
@@ -143,7 +143,8 @@
         if self.calls:
             self.note(f"no answer in {self.beside:.1f} s")
         if len(self.calls) >= MOST_CALLS:
-            self.drop([min(self.calls, key=lambda call: call.credit)])
+            # The first is the next to be answered where calls are worked through in turn, if it is not lost.
+            self.drop([self.calls[now - self.calls[0].credit < PATIENCE]])
         call = Call(self.version is None, now)
         self.calls.append(call)
         self.beside = self.tries.beside(self.pace)
--- a/badgercart/membership/tries.py
+++ b/badgercart/membership/tries.py
@@ -13,7 +13,10 @@
 
 RETRY_FIRST = 0.05  # s before the next try behind a watch that lived
 EARLY = 2  # calls that are soon followed by another, before the service is spared
-MOST = 3  # calls open at once; the one that has been silent for longest makes room
+MOST = (
+    3  # calls open at once; the second makes room for another, or the first if it has said nothing for long
+)
+PATIENCE = 10.0  # s for a first call that says nothing
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/ends/discovery.py
+++ b/tests/ends/discovery.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import math
 import re
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -29,6 +31,7 @@
         self.ended = self.mute = False
         self.asked = b""
         self.path = ""
+        self.how = ""  # the call goes, if not well
         self.timer: asyncio.TimerHandle | None = None
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -111,7 +114,7 @@
             await asyncio.sleep(0.95)  # nearly given up
         protocol = factory()
         line = Line(self, protocol)
-        line.how = how  # type: ignore[attr-defined]
+        line.how = how
         protocol.connection_made(line)
         self.lines.add(line)
         if how == "closed before its head":
@@ -138,7 +141,7 @@
         return self.whole_first and bool(entry["lifecycle"] == "leaving")
 
     def answer(self, line: Line) -> None:
-        how: str = line.how  # type: ignore[attr-defined]
+        how = line.how
         whole = "watch" not in line.path
         since = 0 if whole else int(re.search(r"from=(\w+)", line.path)[1])  # type: ignore[index]
         text = self.text(whole or self.whole_first, since)
@@ -202,3 +205,39 @@
                 line.say(chunk(b'{"generation": 7, "reset": fal}\n'))
             else:
                 line.say(chunk(self.text(True)))
+
+
+class InTurn(Service):
+    """Works through calls in turn, also those that were given up; each takes time, and waits only so long."""
+
+    cost = 0.0  # s of work for a call
+    delay = 0.0  # s that each answer takes, however many there are
+    patience = math.inf  # s after which a call that waits ends with 503
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.queue: deque[tuple[float, Line]] = deque()
+        self.busy = False
+
+    def answer(self, line: Line) -> None:
+        self.queue.append((self.loop.now, line))
+        if self.delay:
+            self.loop.call_later(self.delay, self.done)
+        else:
+            self.next()
+
+    def next(self) -> None:
+        if self.queue and not self.busy:
+            self.busy = True
+            late = self.loop.now - self.queue[0][0] > self.patience
+            self.loop.call_later(0.0 if late else self.cost, self.done)
+
+    def done(self) -> None:
+        since, line = self.queue.popleft()
+        self.busy = False
+        if self.loop.now - since > self.patience + self.cost:
+            line.how = "503"
+        if not line.ended:
+            super().answer(line)
+        if not self.delay:
+            self.next()
