--- /dev/null
+++ b/benchmarks/capacity/laws.py
@@ -0,0 +1,130 @@
+"""Measured slopes, and at which share of the target a budget breaks. No I/O but for reading the runs."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.scale.fit import Slope, fit
+from benchmarks.scale.report import LAST, Run, Series, read
+
+RUNS = Path(__file__).parent.parent / "scale" / "runs"
+LEAST, MOST, STEP = 1e-6, 100.0, 1.05  # shares that are looked at, and how densely
+
+
+class MissingSeries(LookupError):
+    """A figure is wanted that no run has: which, and what there is."""
+
+
+@dataclass(slots=True, frozen=True)
+class Law:
+    """How one cost grows, by one series of a run.
+
+    Within the sizes that were run it goes by the points (straight lines between logarithms), beyond them by
+    the exponent fitted to the last points. Below them it stays at the least: a cost is never taken for less
+    than what was measured."""
+
+    run: Run
+    series: Series
+    slope: Slope = field(init=False)
+
+    def __post_init__(self) -> None:
+        points = [(x, y) for x, y in self.series.points if x > 0]
+        try:
+            slope = fit(points, last=min(LAST, len(points)))
+        except ValueError as error:
+            raise ValueError(f"{self.name}: {error}") from None
+        object.__setattr__(self, "slope", slope)
+
+    @property
+    def name(self) -> str:
+        beside = "".join(f", {value:g} {key}" for key, value in sorted(self.series.fixed.items()))
+        series = self.series
+        return f"{self.run.subject}: {series.name}, {series.statistic}, over {series.over}{beside}"
+
+    @property
+    def points(self) -> list[tuple[float, float]]:
+        return sorted((x, y) for x, y in self.series.points if x > 0)
+
+    @property
+    def most(self) -> float:
+        return self.points[-1][0]
+
+    def __call__(self, size: float) -> float:
+        points = self.points
+        if size <= points[0][0]:
+            return points[0][1]
+        if size >= points[-1][0]:
+            return points[-1][1] * math.pow(size / points[-1][0], self.slope.exponent)
+        at = bisect_left(points, (size, -math.inf))
+        (x0, y0), (x1, y1) = points[at - 1], points[at]
+        part = math.log(size / x0) / math.log(x1 / x0)
+        return math.exp(math.log(y0) * (1 - part) + math.log(y1) * part)
+
+    def beyond(self, size: float) -> float:
+        """By which factor a size lies beyond the largest that was run; 1 where it does not."""
+        return max(1.0, size / self.most)
+
+
+class Runs:
+    """All runs that are kept, by subject."""
+
+    def __init__(self, runs: Mapping[str, Run]) -> None:
+        self.runs = dict(runs)
+        self.used: dict[str, Law] = {}  # laws that were asked for, in that order
+
+    @classmethod
+    def kept(cls, folder: Path = RUNS) -> Runs:
+        """ValueError where a file is no run."""
+        return cls({path.stem: read(path) for path in sorted(folder.glob("*.json"))})
+
+    def law(self, subject: str, name: str, over: str, statistic: str | None = None, **fixed: float) -> Law:
+        """The one series that fits; MissingSeries where none does, or several."""
+        wanted = f"{name!r} over {over!r}" + (f", {statistic}" if statistic else "")
+        wanted += "".join(f", {key} {value:g}" for key, value in fixed.items())
+        run = self.runs.get(subject)
+        if run is None:
+            have = ", ".join(self.runs) or "none"
+            raise MissingSeries(f"no run {subject!r} for {wanted}; there are: {have}")
+        found = [
+            series for series in run.series
+            if series.name == name and series.over == over and statistic in (None, series.statistic)
+            and all(series.fixed.get(key) == value for key, value in fixed.items())
+        ]  # fmt: skip
+        if len(found) != 1:
+            have = "; ".join(sorted({f"{s.name!r} over {s.over!r}, {s.statistic}" for s in run.series}))
+            raise MissingSeries(
+                f"{len(found)} series in {subject!r} are {wanted}, one is wanted; it has {have}"
+            )
+        law = Law(run, found[0])
+        return self.used.setdefault(law.name, law)
+
+
+def break_share(cost: Callable[[float], float], budget: float) -> float:
+    """The smallest share of the target at which a cost is over its budget.
+
+    0 where it is at every share (nothing exists that could carry any), infinite where it is at
+    none to `MOST`. ValueError where the budget is not over 0 or a cost is no number."""
+    if not budget > 0:
+        raise ValueError(f"a budget of {budget} can't be kept")
+
+    def over(share: float) -> bool:
+        value = cost(share)
+        if math.isnan(value):
+            raise ValueError(f"the cost at {share:g} of the target is no number")
+        return value > budget
+
+    low = LEAST
+    if over(low):
+        return 0.0
+    while not over(high := min(low * STEP, MOST)):
+        if high >= MOST:
+            return math.inf
+        low = high
+    while high / low > 1 + 1e-9:
+        middle = math.sqrt(low * high)
+        low, high = (low, middle) if over(middle) else (middle, high)
+    return high
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,198 @@
+"""The tables of docs/CAPACITY.md, and the page with them put in. No I/O."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Mapping, Sequence
+from dataclasses import fields
+
+from benchmarks.capacity.laws import Law, Runs
+from benchmarks.capacity.rows import Need, Ranked, Role, ranking, roles
+from benchmarks.capacity.target import ASSUMED, BUDGETS, TARGET, Budget
+
+Tables = dict[str, str]
+
+# What grows along a series' sizes, and how large it is at the target.
+SIZES: dict[str, float] = {
+    "servers": TARGET.servers,
+    "tenants": TARGET.tenants,
+    "nodes": TARGET.nodes,
+}
+
+
+class PageError(ValueError):
+    """The page and what is worked out don't go together: where."""
+
+
+def number(value: float, unit: str = "") -> str:
+    """Three digits, as people read them."""
+    if math.isinf(value):
+        return "nothing exists"
+    if value == 0:
+        text = "0"
+    elif abs(value) >= 1e6:
+        digits = max(0, 2 - int(math.log10(abs(value) / 1e6)))
+        text = f"{value / 1e6:,.{digits}f} million"
+    else:
+        digits = max(0, 2 - math.floor(math.log10(abs(value))))
+        text = f"{round(value, digits):,.{digits}f}"
+        text = text.rstrip("0").rstrip(".") if "." in text else text
+    return f"{text} {unit}".strip()
+
+
+def share(value: float) -> str:
+    if value == 0:
+        return "**0**"
+    if math.isinf(value):
+        return "not up to 100 times the target"
+    percent = 100 * value
+    return f"**{number(percent)}%**" if value < 1 else f"{number(value)} times the target"
+
+
+def source(need: Need) -> str:
+    told = str(need.tag)
+    if need.assumed:
+        told += ": " + ", ".join(need.assumed)
+    if need.laws:
+        told += " (" + "; ".join(law.name for law in need.laws) + ")"
+    return told + (f"; {need.note}" if need.note else "")
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = ["| " + " | ".join(head) + " |", "| " + " | ".join("---" for _ in head) + " |"]
+    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def target_table() -> str:
+    words = {"requests": "requests a second, at the peak", "changes": "changes of configuration a day",
+             "failures": "machines that fail on an ordinary day",
+             "restarts": "machines restarted or replaced a day",
+             "machines": "machines set aside for control"}  # fmt: skip
+    return table(
+        ("what", "target"),
+        [(words.get(one.name, one.name), f"{getattr(TARGET, one.name):,}") for one in fields(TARGET)],
+    )
+
+
+def first_table(found: Sequence[Role]) -> str:
+    rows = []
+    for role in found:
+        need = role.first
+        rows.append((
+            role.name, role.today, f"{need.what}: {number(need.at_target, need.unit)}",
+            number_of(need.budget), share(need.share), f"{need.mechanism}: **missing**",
+        ))  # fmt: skip
+    return table(
+        ("role", "today", "breaks first, at the target", "budget", "at this share", "carried by"), rows
+    )
+
+
+def number_of(budget: Budget) -> str:
+    return number(budget.value, budget.unit) + ("" if budget.letter else "*")
+
+
+def needs_table(found: Sequence[Role]) -> str:
+    parts = []
+    for role in found:
+        rows = [
+            (need.kind, need.what, number(need.at_target, need.unit), number_of(need.budget),
+             share(need.share), source(need), str(need.mechanism))
+            for need in role.needs
+        ]  # fmt: skip
+        head = ("what", "of which", "at the target", "budget", "breaks at", "from", "carried by")
+        parts.append(
+            f"**{role.name.capitalize()}.** Today: {role.today}. State: {role.state}.\n\n{table(head, rows)}"
+        )
+    return "\n\n".join(parts)
+
+
+def slopes_table(laws: Sequence[Law]) -> str:
+    rows = []
+    for law in laws:
+        size = SIZES.get(law.series.over)
+        if size is None:
+            raise PageError(f"{law.name}: the target has no {law.series.over!r}; add it to `SIZES`")
+        least, most = law.points[0], law.points[-1]
+        beyond = law.beyond(size)
+        rows.append((
+            law.name, f"`{law.run.command}` at {law.run.revision[:7]}",
+            f"{number(least[0])} to {number(most[0])}",
+            f"{number(least[1])} to {number(most[1])} {law.series.unit}", str(law.slope),
+            "within" if beyond == 1 else f"{number(beyond)} times beyond",
+        ))  # fmt: skip
+    return table(("slope", "run", "range", "cost", "exponent at the far end [95%]", "the target lies"), rows)
+
+
+def ranking_table(ranked: Sequence[Ranked]) -> str:
+    rows = [
+        (str(place), str(one.mechanism), share(one.share),
+         f"{one.need.what} ({one.role.name}): {number(one.need.at_target, one.need.unit)} for "
+         f"{number_of(one.need.budget)}", f"{len(one.rows)}: {', '.join(one.rows)}")
+        for place, one in enumerate(ranked, 1)
+    ]  # fmt: skip
+    return table(("", "missing", "smallest share", "what breaks there", "rows that rest on it"), rows)
+
+
+def budgets_table() -> str:
+    return table(
+        ("budget", "by", "why"),
+        [
+            (number(b.value, b.unit), "the operators" if b.letter else "given here*", b.why)
+            for b in BUDGETS.values()
+        ],
+    )
+
+
+def assumed_table() -> str:
+    return table(
+        ("assumed", "value", "why"), [(name, number(a.value, a.unit), a.why) for name, a in ASSUMED.items()]
+    )
+
+
+def tables(runs: Runs) -> Tables:
+    """All parts of the page, by name."""
+    found = roles(runs)
+    return {
+        "target": target_table(),
+        "first to break": first_table(found),
+        "ranking": ranking_table(ranking(found)),
+        "needs": needs_table(found),
+        "slopes": slopes_table(list(runs.used.values())),
+        "budgets": budgets_table(),
+        "assumed": assumed_table(),
+    }
+
+
+PART = re.compile(r"<!-- worked out: (?P<name>[^>]+?) -->\n(?P<text>.*?)<!-- end of (?P=name) -->", re.DOTALL)
+
+
+def renewed(page: str, worked_out: Mapping[str, str]) -> str:
+    """The page with its marked parts as they are worked out now. PageError where parts and marks differ."""
+    marks = [match["name"] for match in PART.finditer(page)]
+    opened = re.findall(r"<!-- worked out: ([^>]+?) -->", page)
+    for name in opened:
+        if name not in marks:
+            raise PageError(f"the part {name!r} has no end")
+        if opened.count(name) > 1:
+            raise PageError(f"the part {name!r} stands there twice")
+        if name not in worked_out:
+            raise PageError(f"nothing works out a part {name!r}; there are: {', '.join(worked_out)}")
+    for name in worked_out:
+        if name not in opened:
+            raise PageError(f"the page has no part {name!r}")
+
+    def part(match: re.Match[str]) -> str:
+        name = match["name"]
+        return f"<!-- worked out: {name} -->\n{worked_out[name]}\n<!-- end of {name} -->"
+
+    return PART.sub(part, page)
+
+
+def differing(page: str, worked_out: Mapping[str, str]) -> list[str]:
+    """Names of the parts that the page has otherwise."""
+    renewed(page, worked_out)  # which says what is wrong with the marks
+    return [
+        match["name"] for match in PART.finditer(page) if match["text"] != worked_out[match["name"]] + "\n"
+    ]
