Measure lines of a list, the zones' council and evidence, and an idle connection's memory

The subject is control in benchmarks.scale: bytes by the real codecs, the evidence's and council's times by their machines alone, a connection by the memory of a serve process.

--- /dev/null
+++ b/benchmarks/scale/control.py
@@ -0,0 +1,233 @@
+"""What control sends and keeps beside the policy and peers: lines of a list, the zones' council, connections.
+
+Bytes are those of the real codecs. The council's and the evidence's times are of their machines alone; a
+connection's memory is that of a `serve` process with so many idle clients, less that with none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import random
+import statistics
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from badgercart.peers.wire import Codec, Gossip, Packet
+from badgercart.zones.council import COMMITS, VOTE, VOTERS, Ballot, Council, Post, Terms, _Vote
+from badgercart.zones.evidence import Claim, Evidence
+from badgercart.zones.eyes import Verdict
+from badgercart.zones.geography import Geography, geography
+from badgercart.zones.plan import Limits, Plan, packed, unpacked, work_out
+from benchmarks.scale.fit import doublings
+from benchmarks.scale.report import Series
+from benchmarks.zones import drawn
+from standins.demo import NodeProcess
+from standins.fleet import Fleet, operators_file
+
+LINES = 170_000
+NODES = 8_600
+ZONES = 11
+ZONES_MOST = 44
+CLASSES = 8
+SOCKETS = 8192  # that the node may hold
+CONNECTIONS = 1200  # idle clients: under a third of their part, else none is kept
+WARM = 400  # clients that are there before: what was free in the process is used up
+ROUNDS = 5
+
+
+def sizes(least: int, most: int, cap: int | None) -> list[int]:
+    return [size for size in doublings(least, most) if cap is None or size <= cap]
+
+
+def timed(call: Callable[[], object]) -> float:
+    """Median ms of the processor."""
+    took = []
+    for _ in range(ROUNDS):
+        began = time.thread_time()
+        call()
+        took.append(1000 * (time.thread_time() - began))
+    return statistics.median(took)
+
+
+# Lines of the list, in discovery's form.
+
+
+def line(number: int) -> dict[str, object]:
+    """One of a fleet in eleven zones; the protocol page's example has names and addresses of this length."""
+    return {
+        "instanceId": f"s-{number * 2654435761 % (1 << 32):08x}",
+        "hostPort": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000",
+        "zone": f"z{number % ZONES}", "machineType": "m2", "cell": number % 64, "lifecycle": "active",
+        "weight": 1.0, "startedAtMs": 1_700_000_000_000 + number,
+    }  # fmt: skip
+
+
+def list_bytes(lines: int) -> float:
+    told = {"generation": 123456, "reset": True, "instances": [line(n) for n in range(lines)]}
+    return float(len(json.dumps(told, separators=(",", ":"))))
+
+
+# The zones' council and evidence.
+
+
+def world(zones: int) -> Geography:
+    names = [f"z{number}" for number in range(zones)]
+    return geography(names, {name: f"r{i % 3}" for i, name in enumerate(names)}, {}, CLASSES)
+
+
+def claim(map_: Geography, rng: random.Random) -> bytes:
+    zones = len(map_.zones)
+    return msgspec.msgpack.encode(
+        Claim(
+            map_.digest, [int(Verdict.FINE)] * zones, [rng.randrange(80, 130) for _ in range(zones)],
+            [rng.randrange(95, 101) for _ in range(zones)], [rng.randrange(5000) for _ in range(map_.rows)],
+        )
+    )  # fmt: skip
+
+
+def datagram(topic: str, said: bytes) -> float:
+    """Bytes of one that carries nothing but a post."""
+    codec = Codec("lab", b"a secret of the lab alone")
+    post = (topic, "node-4711", 1_700_000_000_000, said)
+    packet = Packet("node-4711", 1 << 60, 3, 123_456, (1_700_000_000_000, 0), Gossip(), (), (post,))
+    return float(len(codec.encode(packet)))
+
+
+def evidence(nodes: int, map_: Geography) -> tuple[float, float]:
+    """ms of one look at the claims of so many nodes, and bytes that they are kept in."""
+    rng = random.Random(nodes)
+    claims = [claim(map_, rng) for _ in range(nodes)]
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = Evidence(map_)
+    for number, said in enumerate(claims):
+        kept.take(f"node-{number}", number % len(map_.zones), said, 0.0)
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(kept.heard) == nodes
+    capacity = [100.0] * len(map_.zones)
+    return timed(lambda: kept.seen(1.0, 2500.0, capacity)), float(grown)
+
+
+def round_of(nodes: int, map_: Geography) -> tuple[float, float, float]:
+    """One round of a proposer of so many nodes: ms for all votes, bytes of these, and of the commit."""
+    _, situation = drawn(len(map_.zones), 3, CLASSES, 1)
+    plan = work_out(map_, situation, [1.0] * CLASSES, Limits())
+    council = Council("node-0", 1, Terms(), lambda data: unpacked(data, map_), lambda: 1.7e12)
+    council.tick(0.0)
+    council.propose(5000.0, plan, nodes)
+    assert council.mine is not None
+    ballot: Ballot = council.mine.ballot
+    votes = [msgspec.msgpack.encode(_Vote(ballot, 1 << 60 | number)) for number in range(1, nodes)]
+    effects: list[object] = []
+    began = time.thread_time()
+    for number, vote in enumerate(votes, 1):
+        effects += council.hear(5001.0, f"node-{number}", VOTE, vote)
+    spent = 1000 * (time.thread_time() - began)
+    posts = [effect for effect in effects if isinstance(effect, Post) and effect.topic in COMMITS]
+    commit = sum(datagram(post.topic, post.said) for post in posts)
+    return spent, sum(datagram(VOTE, vote) for vote in votes), commit
+
+
+def plan_of(zones: int) -> tuple[float, float, float]:
+    """ms to work out a plan for so many zones, its bytes, and those of one claim."""
+    map_ = world(zones)
+    _, situation = drawn(zones, 3, CLASSES, 1)
+    worths = [1.0 + number for number in range(CLASSES)]
+
+    def plan() -> Plan:
+        return work_out(map_, situation, worths, Limits())
+
+    return timed(plan), float(len(packed(plan()))), datagram("zones.eyes", claim(map_, random.Random(1)))
+
+
+def zones_series(cap: int | None) -> list[Series]:
+    map_ = world(ZONES)
+    found: dict[tuple[str, str, str], list[tuple[float, float]]] = {}
+
+    def note(name: str, unit: str, over: str, size: float, value: float) -> None:
+        found.setdefault((name, unit, over), []).append((size, value))
+
+    for nodes in sizes(16, NODES, cap):
+        look, kept = evidence(nodes, map_)
+        note("look at the evidence", "ms", "nodes", nodes, look)
+        note("claims kept", "bytes", "nodes", nodes, kept)
+        spent, votes, commit = round_of(nodes, map_)
+        note("votes counted", "ms", "nodes", nodes, spent)
+        note("votes of a round", "bytes", "nodes", nodes, votes)
+        if nodes <= 2 * VOTERS * len(COMMITS):  # more than half are not named beyond that
+            note("commit of a round", "bytes", "nodes", nodes, commit)
+        print(f"control: {nodes} nodes", file=sys.stderr, flush=True)
+    for zones in doublings(3, ZONES_MOST):
+        spent, size, said = plan_of(zones)
+        note("plan", "ms", "zones", zones, spent)
+        note("plan", "bytes", "zones", zones, size)
+        note("claim", "bytes", "zones", zones, said)
+    return [
+        Series(name, unit, over, "median" if unit == "ms" else "one", points,
+               {"zones": ZONES, "classes": CLASSES} if over == "nodes" else {"classes": CLASSES})
+        for (name, unit, over), points in found.items()
+    ]  # fmt: skip
+
+
+# A connection.
+
+
+def resident(process: int) -> float:
+    """Bytes that a process has in memory."""
+    pages = int(Path(f"/proc/{process}/statm").read_text().split()[1])
+    return 4096.0 * pages
+
+
+async def connections(most: int) -> list[tuple[float, float]]:
+    """Bytes that a node takes more with so many more idle clients, each of which has had one answer."""
+    points = []
+    fleet = await Fleet(4, 1).start()
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "node.toml"
+            text = operators_file(fleet.catalog.address).replace("[node]", f"[node]\nsockets = {SOCKETS}")
+            file.write_text(text)
+            node = NodeProcess()
+            await node.start(file)
+            writers: list[asyncio.StreamWriter] = []
+            try:
+                host, port = node.fronts["http"].rsplit(":", 1)
+                await asyncio.sleep(1)
+                for size in [WARM, *(WARM + more for more in doublings(100, most))]:
+                    while len(writers) < size:
+                        reader, writer = await asyncio.open_connection(host, int(port))
+                        writer.write(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+                        await reader.readuntil(b"\r\n\r\n")
+                        writers.append(writer)
+                    taken = resident(node.process.pid)
+                    if size == WARM:
+                        empty = taken
+                    else:
+                        points.append((float(size - WARM), max(taken - empty, 1.0)))
+            finally:
+                for writer in writers:
+                    writer.close()
+                await node.stop()
+    finally:
+        await fleet.stop()
+    return points
+
+
+def measure(most: int | None) -> list[Series]:
+    """All series; `most` caps their sizes."""
+    points = [(float(lines), list_bytes(lines)) for lines in sizes(1, LINES, most)]
+    series = [Series("whole list", "bytes", "servers", "one", points)]
+    series += zones_series(most)
+    idle = asyncio.run(connections(min(CONNECTIONS, most or CONNECTIONS)))
+    series.append(Series("idle clients", "bytes", "connections", "one", idle))
+    return series
