--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from badgercart.learning.snapshot import ServerPart
 from badgercart.peers.wire import Codec, Gossip, Packet
 from badgercart.zones.council import COMMITS, VOTE, VOTERS, Ballot, Council, Post, Terms, _Vote
 from badgercart.zones.evidence import Claim, Evidence
@@ -29,6 +30,9 @@
 from benchmarks.scale.fit import doublings
 from benchmarks.scale.report import Series
 from benchmarks.zones import drawn
+from cottonhall import Policy, Settings
+from cottonhall.interface import Effect, ListKind, RequestClass, ServerEntry, ServerList, State
+from cottonhall.memory import recall
 from standins.demo import NodeProcess
 from standins.fleet import Fleet, operators_file
 
@@ -179,6 +183,33 @@
     ]  # fmt: skip
 
 
+# What was learned.
+
+
+def learned(servers: int) -> tuple[float, float]:
+    """ms for which a save of what was learned holds the loop, and bytes of the file."""
+    classes = tuple(RequestClass(580.0, 1400.0, 2.0, Effect.SAFE) for _ in range(CLASSES))
+    policy = Policy(Settings(classes=classes), 1)
+    entries = [ServerEntry(n + 1, n % ZONES, 0, 0, State.READY, 1.0, 0.0) for n in range(servers)]
+    policy.handle(0.0, ServerList(ListKind.FULL, 1, entries))
+    held = timed(lambda: recall(policy))
+    servers_of = [ServerPart(n, 0.0, k.slow, k.recent, [0.01] * CLASSES, [0.0] * CLASSES)
+                  for n, k in recall(policy).servers.items()]  # fmt: skip
+    return held, float(len(msgspec.msgpack.encode(servers_of)))
+
+
+def learned_series(cap: int | None) -> list[Series]:
+    found = [(float(size), learned(size)) for size in sizes(1000, LINES, cap)]
+    fixed = {"classes": float(CLASSES)}
+    held = [(size, ms) for size, (ms, _) in found]
+    return [
+        Series(
+            "save holds the loop", "ms", "servers", "median", [(x, held) for x, (held, _) in found], fixed
+        ),
+        Series("saved", "bytes", "servers", "one", [(x, size) for x, (_, size) in found], fixed),
+    ]
+
+
 # A connection.
 
 
@@ -228,6 +259,7 @@
     points = [(float(lines), list_bytes(lines)) for lines in sizes(1, LINES, most)]
     series = [Series("whole list", "bytes", "servers", "one", points)]
     series += zones_series(most)
+    series += learned_series(most)
     idle = asyncio.run(connections(min(CONNECTIONS, most or CONNECTIONS)))
     series.append(Series("idle clients", "bytes", "connections", "one", idle))
     return series
--- a/tests/benchmarks/test_control.py
+++ b/tests/benchmarks/test_control.py
@@ -42,3 +42,8 @@
 def test_sizes_keep_under_the_cap() -> None:
     assert control.sizes(16, 8600, 100) == [16, 32, 64]
     assert control.sizes(16, 64, None) == [16, 32, 64]
+
+
+def test_what_was_learned_takes_the_same_room_a_server() -> None:
+    few, many = control.learned(100)[1], control.learned(1000)[1]
+    assert many / few == pytest.approx(10, rel=0.1)
