--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -200,13 +200,12 @@
 
 def learned_series(cap: int | None) -> list[Series]:
     found = [(float(size), learned(size)) for size in sizes(1000, LINES, cap)]
-    fixed = {"classes": float(CLASSES)}
     held = [(size, ms) for size, (ms, _) in found]
+    saved = [(size, count) for size, (_, count) in found]
+    fixed = {"classes": float(CLASSES)}
     return [
-        Series(
-            "save holds the loop", "ms", "servers", "median", [(x, held) for x, (held, _) in found], fixed
-        ),
-        Series("saved", "bytes", "servers", "one", [(x, size) for x, (_, size) in found], fixed),
+        Series("save holds the loop", "ms", "servers", "median", held, fixed),
+        Series("saved", "bytes", "servers", "one", saved, fixed),
     ]
 
 
