Force by tests the ends that were kept by reading alone

Nine suspects of docs/design/ends.md were held for sound by reading. Each is forced now: SIGTERM while the node reads its configuration (a pipe that nothing is written to), the last byte to a slow reader, a connection that is accepted in the turn in which the listener closes, an agent that comes back at any moment (virtual time), a first call that hangs behind an old list, a move to a silent address and back, a retry and a long request behind a drain, a loop that stood still over an attempt's end.

--- /dev/null
+++ b/tests/ends/test_suspects.py
@@ -0,0 +1,262 @@
+"""Suspects that were kept by reading at first, each forced: they hold, and have to go on doing so."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from badgercart import node as platform
+from badgercart.core.names import stable_id
+from badgercart.fronts.http import clients
+from badgercart.membership.catalog import Discovery, Pace
+from cottonhall.interface import ServerList, State
+from tests.ends.test_leaving import Gate
+from tests.ends.test_watch import HEAD, Scripted, hang, says
+from tests.ends.virtual import Loop
+from tests.net import OK, WAIT, Peer, config, request, run, running
+from tests.test_process import COMMAND
+
+
+def test_sigterm_before_the_node_is_up_ends_it(tmp_path: Path) -> None:
+    """While it reads its configuration, which is a pipe that nothing is written to."""
+
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        os.mkfifo(path)
+        process = await asyncio.create_subprocess_exec(
+            *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.DEVNULL
+        )
+        async with asyncio.timeout(WAIT):
+            while True:
+                try:
+                    pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                    break
+                except OSError:  # the other side has not opened it yet
+                    await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == -signal.SIGTERM
+        os.close(pipe)
+
+    uvloop.run(test())
+
+
+def test_a_slow_reader_gets_the_last_byte_before_the_process_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The listener closes at once: nothing but the reader keeps the process, until the system has it all."""
+    monkeypatch.setattr(clients, "ACCEPT_FOR", 0.0)
+    monkeypatch.setattr(platform, "ACCEPT_FOR", 0.0)
+
+    async def test() -> None:
+        big = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60000
+
+        async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(big)
+
+        async with running(await Peer(script).start()) as stand:
+            loop, sock = asyncio.get_running_loop(), socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, stand.node.listener.address)
+            async for connection in stand.connections(1):
+                while not hasattr(connection, "transport"):
+                    await asyncio.sleep(0)
+                own = connection.transport.get_extra_info("socket")
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+            await loop.sock_sendall(sock, request())
+            await stand.outcome()
+            assert connection.transport.get_write_buffer_size()
+
+            async def ends() -> int:
+                await stand.node.drain()
+                return int(connection.transport.get_write_buffer_size())
+
+            ending, got = asyncio.ensure_future(ends()), b""
+            while part := await asyncio.wait_for(loop.sock_recv(sock, 1000), WAIT):
+                got += part
+                await asyncio.sleep(0.002)
+            assert got.endswith(b"x" * 60000)
+            sock.close()
+            assert await asyncio.wait_for(ending, WAIT) == 0
+
+    run(test())
+
+
+def test_a_connection_that_was_just_accepted_is_served_though_the_listener_closes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its transport is made in the next turn of the loop; until then it belongs to the listener alone."""
+    monkeypatch.setattr(clients, "ACCEPT_FOR", 0.0)
+    monkeypatch.setattr(platform, "ACCEPT_FOR", 0.0)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            listener = stand.node.listener
+            sock = socket.create_connection(listener.address)  # in this turn, behind the loop's back
+            sock.sendall(request())
+            listener.accept()
+            (client,) = listener.connections
+            assert not hasattr(client, "machine")
+            listener.stop()
+            await stand.node.drain()
+            sock.settimeout(WAIT)
+            assert b"200 OK" in sock.recv(1000) and sock.recv(1000) == b""
+            sock.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("grace", [250.0, 500.0, 2000.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_an_agent_that_comes_back_at_any_moment_is_asked_within_the_grace(grace: float, seed: int) -> None:
+    """While it is down no call comes up: none is ever further from the next than the grace."""
+    loop = Loop()
+
+    async def test() -> None:
+        discovery = Discovery(("127.0.0.1", 1), lambda raw: 0, random.Random(seed), pace=Pace.agent(grace))
+        discovery.start()
+        times = [loop.time()]
+        while len(times) < 40:
+            await asyncio.sleep(0.001)
+            if len(loop.dials) >= len(times):
+                times.append(loop.time())
+        gaps = [later - before for before, later in zip(times[1:], times[2:], strict=False)]
+        assert max(gaps) < grace / 1000 and len(gaps) > 30
+        discovery.close()
+        await asyncio.sleep(0)
+
+    try:
+        loop.run_until_complete(test())
+    finally:
+        loop.close()
+
+
+def test_a_start_by_an_old_list_does_not_send_to_a_server_that_drains_once_the_agent_has_said_so() -> None:
+    """The agent's first call hangs: what it has counts as told all the same, and is heard by the second."""
+
+    async def test() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        agent = await Scripted([old.entry("s-1", "leaving"), new.entry("s-2")], [hang]).start()
+        agent.push(2, [old.entry("s-1", "leaving"), new.entry("s-2")])
+        async with running(old, new, agent=agent) as stand:
+            while stand.node.roster.version < 2:
+                await asyncio.sleep(0.001)
+            client = await stand.client()
+            for _ in range(8):
+                assert (await client.ask(request()))[0] == 200
+            assert (old.requests.qsize(), new.requests.qsize()) == (0, 8)
+
+    run(test())
+
+
+def test_after_a_move_to_an_address_that_is_silent_drains_bind_and_the_way_back_is_open() -> None:
+    async def test() -> None:
+        old, new = await Peer().start(), await Peer().start()
+        nowhere = await Scripted([], [hang, says(HEAD), *[hang] * 20]).start()
+        async with running(old, new) as stand:
+            stand.agent.push(2, [old.entry("s-1", "leaving")])
+            while stand.node.roster.version < 2:
+                await asyncio.sleep(0)
+            stand.node.discovery.move(("127.0.0.1", nowhere.port))
+            for _ in range(3):
+                await asyncio.wait_for(nowhere.calls.get(), WAIT)
+            client = await stand.client()
+            for _ in range(6):
+                assert (await client.ask(request()))[0] == 200
+            assert (old.requests.qsize(), new.requests.qsize()) == (0, 6)
+            stand.agent.whole = {"generation": 3, "reset": True, "instances": [old.entry("s-1")]}
+            stand.node.discovery.move(("127.0.0.1", stand.agent.port))
+            while stand.node.roster.version < 3:
+                await asyncio.sleep(0)
+            assert (await client.ask(request()))[0] == 200
+            assert old.requests.qsize() == 1
+
+    run(test())
+
+
+def test_a_retry_does_not_go_to_a_server_that_began_to_drain() -> None:
+    async def test() -> None:
+        peers = [await Peer().start() for _ in range(2)]
+        drained = asyncio.Event()
+
+        async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+            await drained.wait()
+            writer.transport.abort()
+
+        for peer in peers:
+            peer.script = script
+        async with running(*peers, attempts=3) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            gets = [asyncio.ensure_future(peer.requests.get()) for peer in peers]
+            await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
+            other = next(i for i, task in enumerate(gets) if not task.done())
+            name = f"s-{other + 1}"
+            stand.agent.push(2, [peers[other].entry(name, "leaving")])
+            while stand.node.pool.servers[stable_id(name.encode())].state is State.READY:
+                await asyncio.sleep(0)
+            drained.set()
+            assert (await client.answer())[0] == 503
+            assert not gets[other].done() and peers[other].connections == 0
+            gets[other].cancel()
+
+    run(test())
+
+
+def test_a_long_request_is_not_begun_at_a_server_that_drains_while_its_connection_comes_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            gate, client = Gate(monkeypatch), await stand.client()
+            whole = request("book", body=b"x" * 100_000)
+            client.writer.write(whole[:-1])
+            await gate.reached()
+            stand.agent.push(2, [peer.entry("s-1", "leaving")])
+            while (await stand.event(ServerList)).version != 2:
+                pass
+            gate.opened.set()
+            client.writer.write(whole[-1:])
+            assert (await client.answer())[0] == 503
+            assert peer.requests.empty()
+
+    run(test())
+
+
+@pytest.mark.parametrize(("cls", "status"), [("find", 503), ("book", 503), ("pay", 502)])
+@pytest.mark.parametrize("answers", [True, False], ids=["an answer came", "nothing came"])
+def test_a_loop_that_stood_still_over_the_end_of_an_attempt_answers_all_the_same(
+    cls: str, status: int, answers: bool
+) -> None:
+    """Its time and its answer are found in the same turn; and a timer that is late still ends it."""
+
+    async def test() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def script(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+
+        peer = await Peer(script).start()
+        settings = replace(config(1, aim=400.0).settings, may_cancel=False)
+        async with running(peer, settings=settings) as stand:
+            client = await stand.client()
+            client.writer.write(request(cls))
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            (attempt,) = stand.node.pool.attempts.values()
+            if answers:
+                raw = writers[0].get_extra_info("socket")
+                socket.socket(fileno=os.dup(raw.fileno())).sendall(OK)
+            left = attempt.deadline / 1000 - time.monotonic()
+            time.sleep(left + 0.3)
+            assert (await client.answer())[0] == (200 if answers else status)
+            assert not stand.node.join.held
+
+    run(test())
