--- a/badgercart/peers/machine.py
+++ b/badgercart/peers/machine.py
@@ -231,8 +231,7 @@
         return [b for b in self.view.of(Status.ALIVE, Status.SUSPECT) if b.claim.name != self.me.name]
 
     def some(self, count: int, without: str = "") -> list[Belief]:
-        others = [belief for belief in self.live() if belief.claim.name != without]
-        return self.random.sample(others, min(count, len(others)))
+        return self.view.draw(count, self.random, (self.me.name, without) if without else (self.me.name,))
 
     # Claims.
 
@@ -315,7 +314,7 @@
             self.stands_back = back
 
     def begin_suspicion(self, claim: Claim) -> None:
-        members = len(self.live()) + 1
+        members = len(self.view.reach) + (self.me.name not in self.view.places)
         least = shortest(members, self.timing.period, self.timing.suspicion)
         wanted = min(CONFIRMATIONS, max(0, members - 2))
         suspicion = Suspicion(claim.incarnation, self.now, least, least * self.timing.longest, wanted)
@@ -396,18 +395,20 @@
     def retry(self, _: Any) -> None:
         """Try one of the dead again, and a seed that is not in reach; forget those dead for long."""
         self.after(self.timing.retry_every * (0.5 + self.random.random()), self.retry)
-        gone = list(self.view.of(Status.DEAD, Status.LEFT))
+        gone = [self.view.beliefs[name] for name in self.view.gone]
         over = [b.claim.name for b in gone if self.now - b.since >= self.timing.remember]
         for name in over:
             if name != self.me.name:
                 self.view.forget(name)
-        self.board.forget(over)
+        if over:
+            self.board.forget(over)
         dead = [b for b in gone if b.status is Status.DEAD and b.claim.name not in over]
-        live = [belief.claim.address for belief in self.live()]
         # Groups that formed apart know nothing of each other: a seed that is not with us may be with them.
-        targets = [seed for seed in self.seeds if seed not in live] or (live if self.unsure else [])
-        if targets:
+        if targets := [seed for seed in self.seeds if seed not in self.view.addresses]:
             self.sync_with(self.random.choice(targets))
+        elif self.unsure:
+            for belief in self.some(1):
+                self.sync_with(belief.claim.address)
         if dead:
             belief = self.random.choice(dead)
             self.send(belief.claim.address, Ping(self.next_number()), belief.claim)
--- a/badgercart/peers/view.py
+++ b/badgercart/peers/view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
@@ -20,6 +22,9 @@
     LEFT = 3  # by its own word
 
 
+REACHED = (Status.ALIVE, Status.SUSPECT)  # who is tried, asked and told
+
+
 @dataclass(slots=True, frozen=True)
 class Claim:
     """What somebody says of a member."""
@@ -61,6 +66,11 @@
         self.beliefs: dict[str, Belief] = {}
         self.most = most
         self.turned_away = 0  # claims of new names beyond the bound
+        self.reach: list[str] = []  # names of those alive or only suspected, in no order
+        self.places: dict[str, int] = {}  # where each is in it
+        self.addresses: Counter[Address] = Counter()  # of those in reach
+        self.gone: dict[str, None] = {}  # names of those dead or left
+        self.looked = 0  # beliefs looked at, over all questions
 
     def merge(self, claim: Claim, now: float, word: str) -> tuple[Belief | None, Belief] | None:
         """Take over a claim if it wins: what was believed before, and is now; None: no change."""
@@ -74,12 +84,45 @@
         since = before.since if before is not None and same else now
         belief = Belief(claim, since, word)
         self.beliefs[claim.name] = belief
+        self.place(before, belief)
         return before, belief
 
     def forget(self, name: str) -> None:
-        self.beliefs.pop(name, None)
+        self.place(self.beliefs.pop(name, None), None)
+
+    def place(self, before: Belief | None, now: Belief | None) -> None:
+        """Keep who is in reach and who is gone in step with a belief that has changed."""
+        if before is not None:
+            name = before.claim.name
+            if before.status in REACHED:
+                self.addresses[before.claim.address] -= 1
+                if not self.addresses[before.claim.address]:
+                    del self.addresses[before.claim.address]
+                if now is None or now.status not in REACHED:
+                    last, at = self.reach.pop(), self.places.pop(name)
+                    if last != name:
+                        self.reach[at], self.places[last] = last, at
+            else:
+                self.gone.pop(name, None)
+        if now is not None:
+            name = now.claim.name
+            if now.status in REACHED:
+                self.addresses[now.claim.address] += 1
+                if name not in self.places:
+                    self.places[name] = len(self.reach)
+                    self.reach.append(name)
+            else:
+                self.gone[name] = None
+
+    def draw(self, count: int, rng: random.Random, without: tuple[str, ...] = ()) -> list[Belief]:
+        """So many of those in reach by chance, or all there are; the cost goes by how many are drawn."""
+        drawn = rng.sample(self.reach, min(count + len(without), len(self.reach)))
+        self.looked += len(drawn)
+        return [self.beliefs[name] for name in drawn if name not in without][:count]
 
     def of(self, *statuses: Status) -> Iterator[Belief]:
+        """By a look at all; where only some are wanted, there are `reach`, `gone` and `draw`."""
+        self.looked += len(self.beliefs)
         return (belief for belief in self.beliefs.values() if belief.status in statuses)
 
     def claims(self) -> list[Claim]:
--- a/lab/group.py
+++ b/lab/group.py
@@ -81,6 +81,8 @@
         self.pauses: list[tuple[str, Paused]] = []
         self.bytes: Counter[str] = Counter()
         self.largest = 0
+        self.doubter = ""  # who was the first to disagree at the last look
+        self.asked_views = 0  # looks at one node's view
         self.topics: tuple[str, ...] = ("test",)
         for number in range(count):
             self.add(f"n{number}", number, join)
@@ -236,13 +238,22 @@
     def agreed(self) -> bool:
         """Whether all that run take each other, and nobody else, for alive."""
         running = {name for name, up in self.up.items() if up and name not in self.paused}
-        return all(
-            {b.claim.name for b in self.machines[name].view.of(Status.ALIVE)} == running for name in running
-        )
+
+        def agrees(name: str) -> bool:
+            self.asked_views += 1
+            beliefs = self.machines[name].view.beliefs.values()
+            return {b.claim.name for b in beliefs if b.status is Status.ALIVE} == running
+
+        # Who disagreed at the last look mostly still does; a look at all views costs members times members.
+        if self.doubter in running and not agrees(self.doubter):
+            return False
+        self.doubter = next((name for name in running if not agrees(name)), "")
+        return not self.doubter
 
     def buried(self, name: str) -> bool:
         """Whether all that run take one for dead."""
-        return all(self.statuses(n).get(name) is Status.DEAD for n, up in self.up.items() if up)
+        views = [self.machines[other].view.beliefs for other, up in self.up.items() if up]
+        return all(name in beliefs and beliefs[name].status is Status.DEAD for beliefs in views)
 
     def level(self, name: str) -> Level:
         return self.machines[name].standing().level
