--- a/benchmarks/scale/peers.py
+++ b/benchmarks/scale/peers.py
@@ -287,7 +287,7 @@
 
 
 def plays(pool: Executor, sizes: Sequence[int], tenants: Sequence[int]) -> Callable[[], Plays]:
-    """Begin groups of these sizes with so many tenants, each by its seeds; what gives them once they ended."""
+    """Begin groups of these sizes with so many tenants, each by its seeds; gives what waits for them."""
     begun = [
         (nodes, of, [pool.submit(play, nodes, of, seed) for seed in range(1, 1 + seeds_of(nodes))])
         for nodes in reversed(sizes)  # the longest first
