Draw no server by a key that has left while its points are on the ring yet

Ruled out: draw_in (it looks among the ready ones of a zone), fallbacks and the draw from our stretch (their lists change with the list itself).

draw now takes of a key's places those that are ready. Nothing else changes: they were looked at first, and are where they are ready.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -587,8 +587,8 @@
             # Where servers remember keys, the key's own places come first; one that draws much has more.
             places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
             first = int(self.random.random() * places)
-            yield self.place(key, first)
-            yield self.place(key, (first + 1) % max(places, 2))
+            own = self.place(key, first), self.place(key, (first + 1) % max(places, 2))
+            yield from (i for i in own if i in self.placed)  # of one that left, points may be there yet
         drawn = [self.ours[int(self.random.random() * self.span)] for _ in range(DRAW) if self.ours]
         # Our zone's come first, of them likelier the stronger. If none fits: the stretch, then the fleet.
         far = {i: self.servers[i].entry.zone != self.settings.zone for i in drawn}
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -149,6 +149,26 @@
     assert policy.ring.points() == WholeLook(policy, policy.strongest).ring
 
 
+def test_a_key_draws_no_server_that_has_left_though_its_points_are_there_yet() -> None:
+    """Of a list that takes many servers out, points are taken away in slices: with the events that follow."""
+    for state in (State.DRAINING, State.GONE):
+        policy = Policy(Settings(CLASSES, warm_keys=True, max_attempts=3), 1)
+        entries = [ServerEntry(i, 0, 0, 0, State.READY, 2.0, 0.0) for i in range(1, 1001)]
+        policy.handle(0.0, ServerList(ListKind.FULL, 1, entries))
+        while policy.unplaced:
+            policy.place_points(1 << 30)
+        told = [ServerEntry(i, 0, 0, 0, state, 2.0, 0.0) for i in range(1, 901)]
+        policy.handle(1.0, ServerList(ListKind.DELTA, 2, told))
+        assert policy.unplaced and any(i <= 900 for _, i in policy.ring.points())
+        chosen = []
+        for number in range(1, 41):
+            for action in policy.handle(2.0, Request(number, 0, 900.0, key=number * 7919)):
+                assert isinstance(action, Send)
+                chosen.append(action.server)
+                policy.handle(2.0, Outcome(number, action.server, True, Result.OK, 0, 20.0))
+        assert len(chosen) == 40 and min(chosen) > 900
+
+
 @settings(max_examples=200, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 300), st.integers(1, 5)), max_size=400), st.randoms())
 def test_a_ring_is_a_sorted_list_in_blocks(points: list[tuple[int, int]], rng: random.Random) -> None:
