--- a/badgercart/distribution/effects.py
+++ b/badgercart/distribution/effects.py
@@ -6,6 +6,20 @@
 from typing import Any
 
 from badgercart.distribution.messages import Change, Entry, Message
+from badgercart.distribution.topic import Topic
+
+
+@dataclass(slots=True, frozen=True)
+class Recovered:
+    """All that a store has on disk: topics as of one place of the log, and the log behind it."""
+
+    term: int = 0
+    voted: str = ""  # for whom in this term; empty: nobody
+    committed: int = 0  # known to be in force; what lies behind may be, too
+    index: int = 0  # the place that the topics are as of, `committed` at most
+    index_term: int = 0
+    topics: dict[str, Topic] = field(default_factory=dict)
+    changes: tuple[Change, ...] = ()  # from `index` + 1 on, without a gap
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,6 +52,15 @@
     committed: int
 
 
+@dataclass(slots=True, frozen=True)
+class KeepAll:
+    """As Keep, but in the place of all that was kept before: the leader has told its topics whole.
+
+    The topics are the store's own: written before the machine is called again."""
+
+    state: Recovered
+
+
 @dataclass(slots=True, frozen=True)
 class Dial:
     """Connect to the store of this number in the settings; the answer is `connected` or `closed`."""
@@ -64,4 +87,4 @@
     told: dict[str, Any] = field(default_factory=dict)
 
 
-Effect = Send | Close | Keep | Dial | Take | Happened
+Effect = Send | Close | Keep | KeepAll | Dial | Take | Happened
--- a/badgercart/distribution/messages.py
+++ b/badgercart/distribution/messages.py
@@ -76,12 +76,15 @@
 
 
 class Append(msgspec.Struct, tag="a", array_like=True, frozen=True):
-    """The leader's log behind `after`, which the receiver has committed; nothing new is a sign of life."""
+    """The leader's log behind `after`, which the receiver has committed; nothing new is a sign of life.
+
+    What the receiver has said that it has as told may be committed by this very message."""
 
     term: int
     after: int
     changes: tuple[Change, ...]
     committed: int  # the last place that more than half of the voters keep
+    age: float = 0.0  # ms since the leader last knew that more than half of the voters had it as leader
 
 
 class Appended(msgspec.Struct, tag="d", array_like=True, frozen=True):
@@ -140,7 +143,8 @@
 class Beat(msgspec.Struct, tag="b", array_like=True, frozen=True):
     """All that was asked for is told as of `age` ms ago.
 
-    That is when this store last knew of a leader that more than half of the voters have."""
+    That is when this store last knew of a leader that more than half of the voters have; inf: it has not
+    since it began."""
 
     age: float
 
@@ -171,7 +175,7 @@
     """In force as this number of its topic; or not, for this `error`.
 
     `not-leading` (`words`: who leads, if known), `conflict` (another number than expected), `too-many`,
-    `unknown`: the term ended before it was decided, so that it may be in force or not."""
+    `oversized`, `unknown`: the term ended before it was decided, so that it may be in force or not."""
 
     serial: int
     number: int
