--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -4,4 +4,4 @@
 finds is kept in `runs/<subject>.json`, from which docs/CAPACITY.md is worked out.
 """
 
-SUBJECTS = ("policy", "lists", "configuration", "peers", "processes", "control")
+SUBJECTS = ("policy", "lists", "configuration", "peers", "processes", "control", "distribution")
