Have the policy look only at the tenants and servers of which something changed

To blame and mended: upkeep renewed quota_used of each tenant (now buckets that leak when looked at, kept for tenants with something in them; the leak's clock is upkeep's, so a long pause counts no more than before); halving looked at every server (now at those that were sent to or remembered); settle_terms went through all servers' classes with any new settings (now only with new classes); place_points took the first of a plain dict, which CPython finds by walking over those deleted in front of it (now an OrderedDict); mark_points asked for who moved among the sizes of the whole fleet and put them all on the waiting list, also for a subset of a hundred (now a subset that is one of over 64 is looked at itself); a list with over 64 changes scattered every id anew; fallbacks and the end of a draw copied the list of all servers, and measure_fleet did where there is one group.

What can differ: a count that a lazy bucket rounds otherwise at its last bit, and, with warm keys, keys' places in the events in which over 128 moved servers wait, as a subset no longer waits for servers that are not its own.

A capture of an older text goes on: its state is given the new parts (test_replay).

--- a/badgercart/capture/explain.py
+++ b/badgercart/capture/explain.py
@@ -55,7 +55,7 @@
         settings, group, beyond = self.settings, request.cls, ""
         tenant = request.tenant
         quota = settings.quotas[tenant] / self.divisors[tenant] if settings.quotas else float("inf")
-        if settings.quotas and self.quota_used[request.tenant] > quota:
+        if settings.quotas and self.used_by(tenant) > quota:
             group, beyond = group + len(settings.classes), ", beyond its tenant's share"
         low, width = self.bands[group]
         score = low + width * draw
--- a/badgercart/capture/replay.py
+++ b/badgercart/capture/replay.py
@@ -4,6 +4,7 @@
 
 import re
 import zlib
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -114,6 +115,10 @@
     fresh = Policy(decode_settings(segment.head["settings"]), segment.head["seed"])
     if segment.head["events_before"] or segment.head.get("adopted"):
         fresh.__dict__.update(thaw(segment.head["state"]).__dict__)
+        fresh.unplaced = OrderedDict(
+            fresh.unplaced
+        )  # an older text had a plain one, and looked at all servers
+        fresh.touched |= fresh.servers.keys()
     return fresh
 
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -8,6 +8,7 @@
 
 import random
 from bisect import bisect_left
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -50,6 +51,7 @@
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 POINTS_AT_ONCE = 2048  # points that are placed on the ring with a list; of more, SLICE go with each event
 SLICE = 256
+SCARCE = 64  # groups above which our stretch is looked through for points, and not the sizes of all servers
 HEARSAY = 0.3  # what others find failing counts for no more: less than one rests at
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
@@ -128,15 +130,16 @@
         self.ours: list[int] = []  # its servers
         self.ring = Ring()  # places of its servers
         self.points: dict[int, int] = {}  # how many each of them has there
-        self.unplaced: dict[int, None] = {}  # those that have too few or too many yet
+        self.unplaced: OrderedDict[int, None] = OrderedDict()  # those that have too few or too many yet
         self.rested: set[int] = set()  # servers that rest or did, until they prove themselves
+        self.touched: set[int] = set()  # servers of which `recent` or `slow` may be no new one's
         self.known: dict[int, Known] = {}  # what was learned of servers before this start
         self.jobs: dict[int, Job] = {}
         self.streams: dict[tuple[int, int], Job] = {}  # attempts whose answers go on as they come
         self.usual: list[float] = []  # learned answer time by class
         self.offered: list[float] = []  # recent requests, like worths: by class, then by class beyond quota
         self.bands: list[tuple[float, float]] = []
-        self.quota_used: list[float] = []
+        self.buckets: dict[int, tuple[float, float]] = {}  # by tenant: requests in it, as of that much leaked
         self.key_counts: dict[int, float] = {}
         self.keys_total = self.total_recent = 1e-9  # recent requests with a key, recent attempts
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
@@ -148,7 +151,7 @@
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
         self.carried = 0.0  # timely answers a ms and warm server, at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
-        self.upkeep_at = self.halved_at = self.now = 0.0
+        self.upkeep_at = self.halved_at = self.now = self.leaked = 0.0  # the last: ms that buckets leaked
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
         self.warm = self.slots = self.strongest = self.mean_strength = 1.0
         self.ask_backoff = settings.ask_within / 40
@@ -162,11 +165,12 @@
         self.focus: dict[int, float] = {}  # how much of what we send goes to a zone, over its even part
         self.warm_focus: dict[int, float] = {}  # the same as if all its servers were warm
         self.spilt: dict[int, tuple[float, float]] = {}  # attempts that may spill into a zone, as of when
-        every = frozenset(range(len(settings.classes)))
-        self.settle_terms(Retuned(settings, every, every))
+        self.settle_terms(Retuned(settings, every := frozenset(range(len(settings.classes))), every))
 
     def settle_terms(self, event: Retuned) -> None:
         """Put settings in force: what was learned of a class that stays is kept."""
+        kept = [t for t in self.buckets if t < len(event.settings.quotas) and t not in event.tenants]
+        self.buckets = {t: (self.used_by(t), self.leaked) for t in kept}
         self.settings = settings = event.settings
         had, n, classes = len(self.usual), len(settings.classes), settings.classes
         self.pace = min(1.0, min(classes[i].aim for i in event.live) / AIM)
@@ -181,27 +185,23 @@
         for i in event.fresh:
             self.usual[i] = classes[i].aim / 4
         self.bands = (self.bands + [(0.0, 100.0)] * (2 * n))[: 2 * n]
-        for server in self.servers.values():
+        for server in self.servers.values() if n > had or event.fresh else ():
             server.health += [Health() for _ in range(n - had)]
             for i in event.fresh:
                 server.health[i] = Health()
-        self.quota_used = (self.quota_used + [0.0] * len(settings.quotas))[: len(settings.quotas)]
-        for i in event.tenants:
-            self.quota_used[i] = 0.0
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.settle_company()
 
     def settle_company(self) -> None:
         """Go by who shares the fleet: as told, else as the settings say."""
-        told, settings = self.company, self.settings
-        size = settings.group_size
-        self.group = told or Company(size, settings.me, size)
-        parts = told.parts if told is not None else ()
-        same = len(parts) == len(settings.quotas)  # else they are of other settings
-        self.divisors = [1 / part for part in parts] if same else [self.group.may_live] * len(settings.quotas)
+        size, quotas = self.settings.group_size, self.settings.quotas
+        self.group = group = self.company or Company(size, self.settings.me, size)
+        same = len(group.parts) == len(quotas)  # else they are of other settings
+        self.divisors = [1 / part for part in group.parts] if same else [group.may_live] * len(quotas)
 
     def on_company(self, event: Company) -> None:
         self.company = event
+        self.buckets = {t: (used, self.leaked) for t in self.buckets if (used := self.used_by(t)) > 0}
         self.settle_company()
         for server_id, level in event.hearsay:
             if (server := self.servers.get(server_id)) is not None:
@@ -282,10 +282,11 @@
         if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
             if not 0 <= tenant < len(settings.quotas):
                 raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
-            if self.quota_used[tenant] > settings.quotas[tenant] / self.divisors[tenant]:
+            used = self.used_by(tenant)
+            if used > settings.quotas[tenant] / self.divisors[tenant]:
                 group += len(settings.classes)
             else:
-                self.quota_used[tenant] += 1
+                self.buckets[tenant] = used + 1, self.leaked
         self.offered[group] += 1
         if request.key and settings.warm_keys:
             self.key_counts[request.key] = self.key_counts.get(request.key, 0.0) + 1
@@ -308,11 +309,16 @@
             job.turn.line.append(job)
         self.attempt(job)
 
+    def used_by(self, tenant: int) -> float:
+        """What is in a tenant's bucket. It leaks when it is looked at: upkeep must not cost all tenants."""
+        count, at = self.buckets.get(tenant, (0.0, 0.0))
+        gone = self.settings.quotas[tenant] * ((self.leaked - at) / 1000 / self.divisors[tenant])
+        return max(0.0, count - gone)
+
     def upkeep(self) -> None:
         passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
         self.upkeep_at = self.now
-        used = zip(self.quota_used, self.settings.quotas, self.divisors, strict=True)
-        self.quota_used = [max(0.0, count - quota * (passed / 1000 / by)) for count, quota, by in used]
+        self.leaked += passed
         if self.now - self.halved_at >= SHARE_HALF:
             self.halved_at = self.now
             self.offered = [x / 2 for x in self.offered]
@@ -320,7 +326,8 @@
             self.key_counts = {k: c / 2 for k, c in self.key_counts.items() if c > 0.5}
             self.total_recent /= 2
             self.turns = {k: t for k, t in self.turns.items() if t.line or t.out or t.rest_until > self.now}
-            for server in self.servers.values():
+            self.touched &= self.servers.keys()
+            for server in (self.servers[server_id] for server_id in self.touched):
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
             self.measure_fleet()
@@ -428,6 +435,7 @@
         if job.turn:
             job.turn.out += 1
         job.tries += 1
+        self.touched.add(server.entry.id)
         server.recent += 1
         self.total_recent += 1
 
@@ -475,7 +483,7 @@
             return ()  # as for sending again: it feeds a jam
         found: list[int] = []
         start = int(self.random.random() * len(self.ready))  # their order is that of hashes: any part will do
-        for server_id in self.ready[start:] + self.ready[:start]:
+        for server_id in (self.ready[at] for at in range(start - len(self.ready), start)):
             if len(found) >= most:
                 break
             server = self.servers[server_id]
@@ -548,7 +556,7 @@
         chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
         yield from sorted(drawn, key=lambda i: chance[i])
         start = int(self.random.random() * len(there))
-        yield from there[start:] + there[:start]
+        yield from (there[at] for at in range(start - len(there), start))
 
     def choose(self, job: Job, draw: Iterator[int], focus: float = 1.0) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two.
@@ -595,7 +603,7 @@
         chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
         yield from sorted(drawn, key=lambda i: (far[i], chance[i]))
         start = self.start + int(self.random.random() * self.span)
-        yield from self.ready[start:] + self.ready[:start]
+        yield from (self.ready[at] for at in range(start - len(self.ready), start))
 
     def place(self, key: int, number: int) -> int:
         """A key's place: the next point of the ring."""
@@ -852,8 +860,9 @@
         for kind, sizes in new.items():
             self.sizes.setdefault(kind, Sizes()).add(sizes)
         if len(went) + len(came) > 64:
-            self.ready = sorted([*(i for i in self.ready if i not in went), *came], key=mix)
-            self.marks = [mix(i) for i in self.ready]
+            kept = [pair for pair in zip(self.marks, self.ready, strict=True) if pair[1] not in went]
+            pairs = sorted([*kept, *((mix(server_id), server_id) for server_id in came)])
+            self.marks, self.ready = [mark for mark, _ in pairs], [server_id for _, server_id in pairs]
             return
         for server_id in went:
             at = self.ready.index(server_id, bisect_left(self.marks, mix(server_id)))
@@ -872,7 +881,7 @@
         group = self.group.me * groups // self.group.size
         self.start = group * count // groups
         self.span = max(1, (group + 1) * count // groups - self.start)
-        self.ours = self.ready[self.start : self.start + self.span]
+        self.ours = self.ready if groups == 1 else self.ready[self.start : self.start + self.span]
         if self.plan is not None:
             if self.zones_old or groups > 1:
                 self.sort_zones()
@@ -887,8 +896,7 @@
         strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
         self.mean_strength = strength / max(1, count)
         if groups != 1 or self.groups != 1:
-            for server_id in self.points.keys() ^ set(self.ours):
-                self.unplaced[server_id] = None
+            self.unplaced |= dict.fromkeys(self.points.keys() ^ set(self.ours))
         self.groups = groups
         self.mark_points(pace)
 
@@ -949,11 +957,12 @@
 
     def mark_points(self, pace: dict[int, float]) -> None:
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
-        strongest = self.strongest
+        most = RING_POINTS if self.groups <= SCARCE else 0
         for kind, paced in pace.items():
-            level = Level(RING_POINTS, paced, strongest)
-            for server_id in self.sizes[kind].moved((paced, strongest), level, RING_POINTS):
-                self.unplaced[server_id] = None
+            level = Level(RING_POINTS, paced, self.strongest)
+            self.unplaced |= dict.fromkeys(self.sizes[kind].moved((paced, self.strongest), level, most))
+        if not most:  # a look at ours costs less than one at all that moved
+            self.unplaced |= dict.fromkeys(i for i in self.ours if self.points.get(i) != self.points_due(i))
         if self.unplaced:
             few = len(self.unplaced) * RING_POINTS <= POINTS_AT_ONCE
             self.place_points(POINTS_AT_ONCE if few else SLICE)
@@ -962,16 +971,17 @@
         at = bisect_left(self.marks, mix(server_id))
         return self.start <= at < self.start + self.span and server_id in self.placed
 
+    def points_due(self, server_id: int) -> int:
+        return int(RING_POINTS * self.strength(self.servers[server_id])) + 1
+
     def place_points(self, most: int) -> None:
         """Give servers on the waiting list their points, until so many were placed or taken away."""
         fresh: list[tuple[int, int]] = []
         while self.unplaced and most > 0:
-            server_id = next(iter(self.unplaced))
-            del self.unplaced[server_id]
+            server_id, _ = self.unplaced.popitem(last=False)  # of a plain dict the first is found ever later
             wanted, have = 0, self.points.pop(server_id, 0)
             if self.in_stretch(server_id):
-                wanted = int(RING_POINTS * self.strength(self.servers[server_id])) + 1
-                self.points[server_id] = wanted
+                wanted = self.points[server_id] = self.points_due(server_id)
             most -= 1 + abs(wanted - have)
             for number in range(min(have, wanted), max(have, wanted)):
                 point = mix(server_id * 1000003 + number), server_id
@@ -1007,6 +1017,7 @@
         """Take over what was learned of a server before our own start, unless it has started anew since."""
         if abs(known.started - server.entry.started) >= 1.0 or len(known.fails) != len(server.health):
             return
+        self.touched.add(server.entry.id)
         server.slow, server.recent = known.slow, known.recent
         self.total_recent += known.recent
         for health, fails, strikes in zip(server.health, known.fails, known.strikes, strict=True):
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -19,7 +19,7 @@
 from badgercart.capture import codec, format, writer
 from badgercart.capture.codec import CodecError, decode_event, freeze, thaw
 from badgercart.capture.format import Ending, FormatError, Kind, Segment
-from badgercart.capture.replay import replay, replay_all, segments
+from badgercart.capture.replay import decide, events, replay, replay_all, segments, start
 from badgercart.capture.settings import CaptureSettings
 from badgercart.operator.cli import main
 from cottonhall.interface import Settings
@@ -56,6 +56,21 @@
     assert plain.join.policy.random.getstate() == tapped.join.policy.random.getstate()
 
 
+def test_a_state_of_an_older_text_is_gone_on_from(day: Path) -> None:
+    """It had a plain dict of servers without points, all buckets in a list, and faded all servers."""
+    segment = Segment(segments([str(day)])[1].read_bytes())
+    old = thaw(segment.head["state"])
+    del old.buckets, old.touched, old.leaked
+    old.quota_used, old.unplaced = [3.0] * len(old.settings.quotas), dict.fromkeys(old.ready[:3])  # type: ignore[attr-defined,assignment]
+    segment.head |= {"state": pickle.dumps(old), "module": {"rules.py": "another"}}
+    policy, came = start(segment), 0
+    assert policy.touched == policy.servers.keys() and len(policy.unplaced) == 3
+    for item in events(segment):
+        assert decide(policy, item.now, item.event) is not None
+        came += 1
+    assert came > 300 and not policy.unplaced
+
+
 def test_another_decision_is_named_by_its_record(day: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = segments([str(day)])[0]
     draw = Policy.handle
