--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -40,6 +40,7 @@
         module = importlib.import_module(f"benchmarks.scale.{subject}")
         command = f"python -m benchmarks.scale --only {subject}"
         command += f" --most {chosen.most}" if chosen.most is not None else ""
+        command += f" --name {chosen.name}" if chosen.name else ""
         run = report.run_of(subject, command, module.measure(chosen.most))
         path = report.write(run, chosen.out, chosen.name)
         print(f"## {subject}, {run.revision}\n\n{report.table(run)}\n", flush=True)
--- a/benchmarks/scale/policy.py
+++ b/benchmarks/scale/policy.py
@@ -195,10 +195,10 @@
     return pages * 4096
 
 
-def grown(servers: int, tenants: int, classes: int) -> int:
+def grown(servers: int, tenants: int) -> int:
     """Bytes that a policy of this size takes in this process, the list's own entries included."""
     before = resident()
-    stage = Stage(servers, tenants=tenants, classes=classes)
+    stage = Stage(servers, tenants=tenants)
     stage.whole_list()
     stage.entries.clear()
     while stage.policy.unplaced:
@@ -207,8 +207,8 @@
     return max(resident() - before, 4096)
 
 
-def in_a_child(servers: int, tenants: int = 0, classes: int = 1) -> int:
-    call = f"from benchmarks.scale.policy import grown; print(grown({servers}, {tenants}, {classes}))"
+def in_a_child(call: str) -> int:
+    """The number that a process of its own prints."""
     told = subprocess.run([sys.executable, "-c", call], cwd=ROOT, capture_output=True, text=True, check=True)
     return int(told.stdout)
 
@@ -220,9 +220,10 @@
         ("tenants", tenants, {"servers": FLEET_OF_TENANTS, "classes": 1}),
     ):
         points: list[Point] = []
-        for size in doublings(min(2500, most), most, 4):
+        for size in doublings(min(10_000, most), most):  # of less, pages that are there already hide much
             sizes = (size, 0) if over == "servers" else (FLEET_OF_TENANTS, size)
-            points.append((size, in_a_child(*sizes)))
+            call = f"from benchmarks.scale.policy import grown; print(grown{sizes})"
+            points.append((size, in_a_child(call)))
         series.append(Series("memory", "bytes", over, "one", points, dict(fixed)))
     return series
 
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -118,7 +118,7 @@
         panels.setdefault((series.unit, series.over), []).append(series)
     columns = min(3, len(panels))
     rows = -(-len(panels) // columns)
-    figure = Figure(figsize=(5 * columns, 4 * rows), dpi=70, layout="constrained")
+    figure = Figure(figsize=(5 * columns, 4 * rows), dpi=50, layout="constrained")
     for place, ((unit, over), found) in enumerate(panels.items(), 1):
         axes = figure.add_subplot(rows, columns, place)
         for series in found:
