Read the pace of calls to discovery where it stands now

Need: benchmarks/capacity/storms.py imported Pace from the catalog, whose pace has moved to membership/tries.py: mypy failed.

Measured: mypy passes.

--- a/benchmarks/capacity/storms.py
+++ b/benchmarks/capacity/storms.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from badgercart.membership.catalog import RETRY_FIRST, Pace
+from badgercart.membership.tries import RETRY_FIRST, Pace
 from badgercart.zones.plan import Limits
 from benchmarks.capacity.laws import Law, Runs
 from benchmarks.capacity.rows import Tag, changed_line, line_bytes, subset
