--- a/benchmarks/capacity/laws.py
+++ b/benchmarks/capacity/laws.py
@@ -29,16 +29,18 @@
     run: Run
     series: Series
     subject: str  # the name of the run's file
+    points: list[tuple[float, float]] = field(init=False)  # by size, those of size 0 left out
     slope: Slope = field(init=False)
     first: Slope = field(init=False)  # of the first points
 
     def __post_init__(self) -> None:
-        points = [(x, y) for x, y in self.series.points if x > 0]
+        points = sorted((x, y) for x, y in self.series.points if x > 0)
         try:
             slope = fit(points, last=LAST)
-            first = fit(sorted(points)[:LAST])
+            first = fit(points[:LAST])
         except ValueError as error:
             raise ValueError(f"{self.name}: {error}") from None
+        object.__setattr__(self, "points", points)
         object.__setattr__(self, "slope", slope)
         object.__setattr__(self, "first", first)
 
@@ -48,10 +50,6 @@
         series = self.series
         return f"{self.subject}: {series.name}, {series.statistic}, over {series.over}{beside}"
 
-    @property
-    def points(self) -> list[tuple[float, float]]:
-        return sorted((x, y) for x, y in self.series.points if x > 0)
-
     @property
     def most(self) -> float:
         return self.points[-1][0]
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from badgercart.membership.etcd.follower import MAX_ENTRIES
@@ -66,14 +66,15 @@
     assumed: tuple[str, ...] = ()  # names in `ASSUMED`
     plain: bool = False  # a law's own value, with no formula
     note: str = ""
+    share: float = field(init=False)  # of the target at which the budget breaks
 
     @property
     def at_target(self) -> float:
         return self.cost(TARGET)
 
-    @property
-    def share(self) -> float:
-        return break_share(lambda share: self.cost(TARGET.at(share)), self.budget.value)
+    def __post_init__(self) -> None:
+        share = break_share(lambda share: self.cost(TARGET.at(share)), self.budget.value)
+        object.__setattr__(self, "share", share)
 
     @property
     def tag(self) -> Tag:
