Work peers' first slopes into the capacity page, and say of each figure how far it was run

The parts that numbered changes carry are worked out anew where the subject distribution was run; it was not yet.

--- a/benchmarks/capacity/laws.py
+++ b/benchmarks/capacity/laws.py
@@ -4,16 +4,28 @@
 
 import math
 from bisect import bisect_left
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks.capacity.target import BUDGETS, TARGET
 from benchmarks.scale.fit import Slope, fit
 from benchmarks.scale.report import LAST, Run, Series, read
 
 RUNS = Path(__file__).parent.parent / "scale" / "runs"
 LEAST, MOST, STEP = 1e-6, 100.0, 1.05  # shares that are looked at, and how densely
 
+# What grows along a series' sizes, and how large it is at the target.
+SIZES: dict[str, float] = {
+    "servers": TARGET.servers,
+    "tenants": TARGET.tenants,
+    "nodes": TARGET.nodes,
+    "processes": TARGET.nodes,
+    "zones": TARGET.zones,
+    "classes": TARGET.routes,
+    "connections": BUDGETS["connections"].value,
+}
+
 
 class MissingSeries(LookupError):
     """A figure is wanted that no run has: which, and what there is."""
@@ -65,6 +77,14 @@
         part = math.log(size / x0) / math.log(x1 / x0)
         return math.exp(math.log(y0) * (1 - part) + math.log(y1) * part)
 
+    @property
+    def left(self) -> float:
+        """By which factor the target lies beyond what was run; 1 where it was reached."""
+        size = SIZES.get(self.series.over)
+        if size is None:
+            raise ValueError(f"{self.name}: the target has no {self.series.over!r}; add it to `SIZES`")
+        return self.beyond(size)
+
     def beyond(self, size: float) -> float:
         """By which factor a size lies beyond the largest that was run; 1 where it does not."""
         return max(1.0, size / self.most)
@@ -82,6 +102,10 @@
         """ValueError where a file is no run."""
         return cls({path.stem: read(path) for path in sorted(folder.glob("*.json"))})
 
+    def first(self, names: Sequence[str]) -> str:
+        """The first of these that is kept; the first of all where none is."""
+        return next((name for name in names if name in self.runs), names[0])
+
     def law(self, subject: str, name: str, over: str, statistic: str | None = None, **fixed: float) -> Law:
         """The one series that fits; MissingSeries where none does, or several."""
         wanted = f"{name!r} over {over!r}" + (f", {statistic}" if statistic else "")
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -8,25 +8,15 @@
 from dataclasses import fields
 
 from benchmarks.capacity.laws import LEAST, Law, Runs
-from benchmarks.capacity.rows import Need, Ranked, Role, line_bytes, ranking, roles
+from benchmarks.capacity.rows import Need, Ranked, Role, line_bytes, ranking, roles, told
 from benchmarks.capacity.storms import Storm, served_servers, storms
 from benchmarks.capacity.target import ASSUMED, BUDGETS, TARGET, Budget
 from benchmarks.scale import SUBJECTS
 
 Tables = dict[str, str]
+NOT_BUILT = "Not run yet: `python -m benchmarks.scale --only distribution`."
 LIMIT = "limit in the code: "  # as `rows.limit` words it
 
-# What grows along a series' sizes, and how large it is at the target.
-SIZES: dict[str, float] = {
-    "servers": TARGET.servers,
-    "tenants": TARGET.tenants,
-    "nodes": TARGET.nodes,
-    "processes": TARGET.nodes,
-    "zones": TARGET.zones,
-    "classes": TARGET.routes,
-    "connections": BUDGETS["connections"].value,
-}
-
 
 class PageError(ValueError):
     """The page and what is worked out don't go together: where."""
@@ -129,11 +119,7 @@
 def slopes_table(laws: Sequence[Law], ids: Mapping[str, str]) -> str:
     rows = []
     for law in laws:
-        size = SIZES.get(law.series.over)
-        if size is None:
-            raise PageError(f"{law.name}: the target has no {law.series.over!r}; add it to `SIZES`")
-        least, most = law.points[0], law.points[-1]
-        beyond = law.beyond(size)
+        least, most, beyond = law.points[0], law.points[-1], law.left
         rows.append((
             ids[law.name], law.name, f"`{law.run.command}` at {law.run.revision[:7]}",
             f"{number(least[0])} to {number(most[0])}",
@@ -198,7 +184,8 @@
 
 
 def not_run(runs: Runs) -> str:
-    missing = [name for name in SUBJECTS if name not in runs.runs]
+    subjects = {run.subject for run in runs.runs.values()}
+    missing = [name for name in SUBJECTS if name not in subjects]
     return (
         "Not run: " + ", ".join(missing) + "." if missing else "All subjects of `benchmarks.scale` were run."
     )
@@ -222,7 +209,7 @@
 
 def tables(runs: Runs) -> Tables:
     """All parts of the page, by name."""
-    found, bad = roles(runs), storms(runs)
+    found, bad, anew = roles(runs), storms(runs), told(runs)
     ids = {name: f"S{number}" for number, name in enumerate(runs.used, 1)}
     return {
         "three": three(runs, found, ranking(found)),
@@ -230,6 +217,7 @@
         "first to break": first_table(found),
         "ranking": ranking_table(ranking(found)),
         "needs": needs_table(found, ids),
+        "told": needs_table(anew, ids) if anew else NOT_BUILT,
         "storms": storms_table(bad, ids),
         "not run": not_run(runs),
         "slopes": slopes_table(list(runs.used.values()), ids),
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -23,7 +23,8 @@
 REPORTED = 10  # tenants in the reports of `benchmarks.scale.peers`
 APART = 0.5  # s between changes in `benchmarks.scale.processes`
 A_SERVER = TARGET.nodes / TARGET.servers  # nodes that there are for each server
-POLICY = "policy-before"  # the run of the policy
+POLICY = ("policy", "policy-before")  # runs, the one that counts first
+PEERS = ("peers", "peers-first")
 SHARE_MS = 500.0  # between two reports in a small group: `PeersSettings.share_ms`
 
 
@@ -32,6 +33,7 @@
 
     LIMIT = "limit"  # a bound that stands in the code
     MEASURED = "measured"
+    EXTRAPOLATED = "extrapolated"  # read off a slope, beyond what was run
     MODELLED = "modelled"  # worked out from measured figures by a formula
     GUESSED = "guessed"  # an assumption enters
     NOTHING = "nothing"  # there is nothing that could be measured
@@ -83,7 +85,9 @@
         if self.assumed:
             return Tag.GUESSED
         if self.laws:
-            return Tag.MEASURED if self.plain else Tag.MODELLED
+            if not self.plain:
+                return Tag.MODELLED
+            return Tag.MEASURED if all(law.left == 1 for law in self.laws) else Tag.EXTRAPOLATED
         return Tag.LIMIT if self.budget.why.startswith("limit in the code") else Tag.MODELLED
 
 
@@ -143,19 +147,21 @@
 
 def changed_line(runs: Runs) -> Law:
     """µs of a changed line in the policy, nodes growing with the servers."""
-    return runs.law(POLICY, "changed line", "servers", "mean", nodes_a_server=A_SERVER)
+    return runs.law(runs.first(POLICY), "changed line", "servers", "mean", nodes_a_server=A_SERVER)
 
 
 def member_needs(runs: Runs) -> tuple[Need, ...]:
     """What hollow nodes showed; nothing where they were not run."""
-    if "peers" not in runs.runs:
+    if not any(name in runs.runs for name in PEERS):
         return ()
     CELLS, use = Mechanism.CELLS, REPORTED
-    came, out = (runs.law("peers", f"bytes {way}", "nodes", "median", tenants=use) for way in ("in", "out"))
-    processor = runs.law("peers", "processor", "nodes", "median", tenants=use)
-    memory = runs.law("peers", "memory", "nodes", "one", tenants=0)
-    view = runs.law("peers", "one view", "nodes", "worst", tenants=0)
-    death = runs.law("peers", "one view after a death", "nodes", "worst", tenants=0)
+    came, out = (
+        runs.law(runs.first(PEERS), f"bytes {way}", "nodes", "median", tenants=use) for way in ("in", "out")
+    )
+    processor = runs.law(runs.first(PEERS), "processor", "nodes", "median", tenants=use)
+    memory = runs.law(runs.first(PEERS), "memory", "nodes", "one", tenants=0)
+    view = runs.law(runs.first(PEERS), "one view", "nodes", "worst", tenants=0)
+    death = runs.law(runs.first(PEERS), "one view after a death", "nodes", "worst", tenants=0)
     return (
         Need("messages in", "with reports of use of ten tenants", "B/s", lambda t: came(t.nodes),
              BUDGETS["bytes"], CELLS, (came,), plain=True),
@@ -174,10 +180,10 @@
 
 def use_needs(runs: Runs) -> tuple[Need, ...]:
     """What the counters of use take; nothing where it was not run."""
-    if "peers" not in runs.runs:
+    if not any(name in runs.runs for name in PEERS):
         return ()
-    without = runs.law("peers", "memory", "nodes", "one", tenants=0)
-    with_use = runs.law("peers", "memory", "nodes", "one", tenants=REPORTED)
+    without = runs.law(runs.first(PEERS), "memory", "nodes", "one", tenants=0)
+    with_use = runs.law(runs.first(PEERS), "memory", "nodes", "one", tenants=REPORTED)
 
     def kept(t: Target) -> float:
         counter = max(0.0, with_use(t.nodes) - without(t.nodes)) / REPORTED
@@ -208,14 +214,14 @@
 
 def roles(runs: Runs) -> list[Role]:
     """All rows. Raises MissingSeries where a run lacks what one wants."""
-    decision = runs.law(POLICY, "decision", "servers", "99th", nodes_a_server=A_SERVER)
-    by_tenants = runs.law(POLICY, "decision", "tenants", "99th")
-    usual = runs.law(POLICY, "decision", "tenants", "median")
-    mean = runs.law(POLICY, "decision", "tenants", "mean")
+    decision = runs.law(runs.first(POLICY), "decision", "servers", "99th", nodes_a_server=A_SERVER)
+    by_tenants = runs.law(runs.first(POLICY), "decision", "tenants", "99th")
+    usual = runs.law(runs.first(POLICY), "decision", "tenants", "median")
+    mean = runs.law(runs.first(POLICY), "decision", "tenants", "mean")
     line, size = changed_line(runs), line_bytes(runs)
-    whole = runs.law(POLICY, "whole list", "servers", "first", nodes_a_server=A_SERVER)
-    kept = runs.law(POLICY, "memory", "servers")
-    kept_tenants = runs.law(POLICY, "memory", "tenants")
+    whole = runs.law(runs.first(POLICY), "whole list", "servers", "first", nodes_a_server=A_SERVER)
+    kept = runs.law(runs.first(POLICY), "memory", "servers")
+    kept_tenants = runs.law(runs.first(POLICY), "memory", "tenants")
     claims, votes = (
         runs.law("control", "claims kept", "nodes"),
         runs.law("control", "votes of a round", "nodes"),
@@ -402,6 +408,57 @@
     ]  # fmt: skip
 
 
+def told(runs: Runs) -> list[Role]:
+    """The rows that numbered changes carry, worked out anew from what was built; none if it was not run."""
+    if "distribution" not in runs.runs:
+        return []
+
+    def law(name: str) -> Law:
+        return runs.law("distribution", name, "nodes", None, **{"services followed": ASSUMED["served"].value})
+
+    force, came = law("a change in force at the last node"), law("bytes at the target's rate of changes")
+    busy_ = law("processor at the target's rate of changes")
+    leader, leading = law("bytes of a leader"), law("processor of a leader")
+    store, storing = law("bytes of the busiest other store"), law("processor of the busiest other store")
+    size, names = line_bytes(runs), ("served",)
+    TOLD = Mechanism.STANDS
+    return [
+        Role(
+            "what follows lists and configuration",
+            "numbered changes, told to each node for what it serves",
+            "the entries of the topics that the node follows, their numbers",
+            (
+                Need("time", "a change is in force at the last node", "s", lambda t: force(t.nodes) / 1000,
+                     BUDGETS["in force"], TOLD, (force,), names, plain=True),
+                Need("messages in", "at the target's rate of changes", "B/s", lambda t: came(t.nodes),
+                     BUDGETS["bytes"], TOLD, (came,), names, plain=True),
+                Need("processor", "at the target's rate of changes", "of a core",
+                     lambda t: busy_(t.nodes) / 1000, BUDGETS["core"], TOLD, (busy_,), names, plain=True),
+                Need("messages in", "all that it serves at a start, at 17 KB a second", "s",
+                     lambda t: size(ASSUMED["served"].value * t.service_servers) / BUDGETS["bytes"].value,
+                     BUDGETS["ready"], TOLD, (size,), names),
+            ),
+            (),
+        ),
+        Role(
+            "the 40 machines",
+            "stores: a leader with voters, and others that tell nodes",
+            "all topics and the changes since",
+            (
+                Need("messages out", "of the leader", "B/s", lambda t: leader(t.nodes), BUDGETS["wire"], TOLD,
+                     (leader,), names, plain=True),
+                Need("processor", "of the leader", "cores", lambda t: leading(t.nodes) / 1000,
+                     BUDGETS["one core"], TOLD, (leading,), names, plain=True),
+                Need("messages out", "of the busiest other", "B/s", lambda t: store(t.nodes), BUDGETS["wire"],
+                     TOLD, (store,), names, plain=True),
+                Need("processor", "of the busiest other", "cores", lambda t: storing(t.nodes) / 1000,
+                     BUDGETS["one core"], TOLD, (storing,), names, plain=True),
+            ),
+            (),
+        ),
+    ]  # fmt: skip
+
+
 @dataclass(slots=True, frozen=True)
 class Ranked:
     """A missing mechanism and how soon it is missed."""
--- a/tests/benchmarks/test_capacity.py
+++ b/tests/benchmarks/test_capacity.py
@@ -13,7 +13,7 @@
 from benchmarks.capacity import page
 from benchmarks.capacity.__main__ import PAGE, main
 from benchmarks.capacity.laws import LEAST, RUNS, Law, MissingSeries, Runs, break_share
-from benchmarks.capacity.rows import Mechanism, Need, Role, Tag, limit, nothing, ranking, roles
+from benchmarks.capacity.rows import Mechanism, Need, Role, Tag, limit, nothing, ranking, roles, told
 from benchmarks.capacity.target import ASSUMED, BUDGETS, TARGET, Budget, Target
 from benchmarks.scale.report import Run, Series
 
@@ -112,7 +112,7 @@
 
 def test_a_size_that_the_target_does_not_have_is_named() -> None:
     law = Law(run_of(power(1, over="moons")), power(1, over="moons"), "made")
-    with pytest.raises(page.PageError, match="the target has no 'moons'"):
+    with pytest.raises(ValueError, match="made: cost, median, over moons: the target has no 'moons'"):
         page.slopes_table([law], {law.name: "S1"})
 
 
@@ -242,7 +242,9 @@
     def tag(laws: tuple[Law, ...] = (), assumed: tuple[str, ...] = (), plain: bool = False) -> Tag:
         return Need("time", "x", "us", lambda t: 1.0, budget, Mechanism.TOLD, laws, assumed, plain).tag
 
-    assert tag((law,), plain=True) is Tag.MEASURED
+    assert tag((law,), plain=True) is Tag.EXTRAPOLATED
+    reached = Series("cost", "us", "servers", "one", [(10.0, 1.0), (100.0, 1.0), (TARGET.servers, 2.0)])
+    assert tag((Law(run_of(reached), reached, "made"),), plain=True) is Tag.MEASURED
     assert tag((law,)) is Tag.MODELLED
     assert tag((law,), ("idle",), True) is Tag.GUESSED
     assert need(Mechanism.TOLD, 1.0).tag is Tag.LIMIT
@@ -264,3 +266,25 @@
 
 def test_the_target_is_the_operators_table() -> None:
     assert Target(8_600, 170_000, 5_400, 910_000, 43_000, 290_000, 6_600, 420, 28_000, 3, 11, 40) == TARGET
+
+
+def test_what_was_built_is_worked_out_anew_where_it_was_run() -> None:
+    """By made figures: a change is in force at the last node after 100 ms for each thousand nodes."""
+    assert told(Runs({})) == []
+    names = (
+        "a change in force at the last node", "bytes at the target's rate of changes",
+        "processor at the target's rate of changes", "bytes of a leader", "processor of a leader",
+        "bytes of the busiest other store", "processor of the busiest other store",
+    )  # fmt: skip
+    fixed = {"services followed": ASSUMED["served"].value}
+    points = [(1000.0, 100.0), (2000.0, 200.0), (4000.0, 400.0)]
+    series = [Series(name, "x", "nodes", "mean", points, fixed) for name in names]
+    everything = [replace(one, fixed={"services followed": -1.0}) for one in series]
+    kept = {
+        "distribution": run_of(*series, *everything, subject="distribution"),
+        "control": Runs.kept().runs["control"],
+    }
+    found = {need.what: need for role in told(Runs(kept)) for need in role.needs}
+    last = found["a change is in force at the last node"]
+    assert last.at_target == pytest.approx(0.86) and last.share == pytest.approx(4 / 0.86, rel=1e-6)
+    assert "distribution" not in page.not_run(Runs(kept))
--- a/tests/benchmarks/test_storms.py
+++ b/tests/benchmarks/test_storms.py
@@ -21,7 +21,7 @@
     fixed = {"nodes_a_server": TARGET.nodes / TARGET.servers}
     return Runs({
         "control": Run("control", "", "", {}, [Series("whole list", "bytes", "servers", "one", sizes)]),
-        POLICY: Run("policy", "", "", {}, [Series("changed line", "us", "servers", "mean", line, fixed)]),
+        POLICY[0]: Run("policy", "", "", {}, [Series("changed line", "us", "servers", "mean", line, fixed)]),
     })  # fmt: skip
 
 
