--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -175,7 +175,7 @@
         f"1. **{len(none)} of {len(found)} roles have nothing that does them**: {' and '.join(none)}. "
         f"So *{ranked[0].mechanism}* comes first: {len(ranked[0].rows)} roles rest on it.",
         f"2. **{percent(at)} of the target**, {nodes} nodes, is where the first of the others breaks "
-        f"({first.name}: {first.first.what}); {few} of {len(found)} roles break between that and 1%.",
+        f"({first.name}: {first.first.what}); with it {few} of {len(found)} roles break below 1%.",
         f"3. **{number(servers.at_target, servers.unit)}** is what all servers take in the memory of a node, "
         f"where {number(servers.budget.value, servers.budget.unit)} is allowed for all of control. To be "
         f"told of them at a start takes {number(whole, 's')} at 17 KB a second; of the services that a node "
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -324,7 +324,7 @@
             (
                 Need("limit", "tenants in a report", "tenants", lambda t: t.tenants,
                      limit(MOST_SHARED, "tenants", "badgercart.peers.uses.MAX_TENANTS"), SHARES),
-                Need("time", "of a node's even part that one request of a mean tenant uses up", "s",
+                Need("time", "for which one request of a mean tenant uses up a node's even part", "s",
                      lambda t: t.nodes * t.tenants / t.requests,
                      limit(1, "s", "cottonhall.rules.Policy.on_request: a bucket 1 s deep"), SHARES),
                 Need("time", "between two reports of use", "s", lambda t: reports_every(t.nodes),
--- a/benchmarks/capacity/storms.py
+++ b/benchmarks/capacity/storms.py
@@ -66,18 +66,28 @@
 
 
 def lines_at_once(
-    name: str, lines: float, runs: Runs, names: tuple[str, ...], nodes: float | None = None
+    name: str,
+    lines: float,
+    runs: Runs,
+    names: tuple[str, ...],
+    nodes: float | None = None,
+    lost: bool = False,
 ) -> Storm:
-    """So many lines of the list change at the same moment, and so many nodes are told."""
+    """So many lines of the list change at the same moment, and so many nodes are told.
+
+    `lost`: the servers are gone, and with them what was sent there."""
     line, size = changed_line(runs), line_bytes(runs)
     part = served_servers() / TARGET.servers
     a_line = size(TARGET.servers) / TARGET.servers
     told = lines * part
     here = TARGET.nodes if nodes is None else nodes
     names = (*names, "served")
+    gone = lines * TARGET.requests / TARGET.servers
     return Storm(
         name,
         (
+            *(Figure("requests a second that went there", "", gone, gone, None,
+                     names[:-1]) for _ in [1] if lost),
             Figure("lines that a node is told", "lines", lines, told, None, names),
             Figure("they take, at 17 KB a second", "s", lines * a_line / 17_000, told * a_line / 17_000,
                    BUDGETS["lists out"], names, (size,)),
@@ -280,10 +290,11 @@
     """All of them. Raises MissingSeries where a run lacks what one wants."""
     zone = TARGET.servers / TARGET.zones
     return [
-        lines_at_once("the second after a rack", assumed("servers of a rack"), runs, ("servers of a rack",)),
+        lines_at_once("the second after a rack", assumed("servers of a rack"), runs, ("servers of a rack",),
+                      lost=True),
         lines_at_once("the second after a switch", assumed("servers of a switch"), runs,
-                      ("servers of a switch",)),
-        lines_at_once("the second after a zone", zone, runs, ()),
+                      ("servers of a switch",), lost=True),
+        lines_at_once("the second after a zone", zone, runs, (), lost=True),
         busier("zone", TARGET.zones),
         busier("region", TARGET.regions),
         *region_back(runs),
