--- a/tests/benchmarks/test_storms.py
+++ b/tests/benchmarks/test_storms.py
@@ -90,3 +90,9 @@
         assert storm.name.capitalize() in text
         for figure in storm.figures:
             assert set(figure.assumed) <= set(ASSUMED)
+
+
+def test_lost_servers_say_how_many_requests_went_there() -> None:
+    lost = by_name(lines_at_once("x", 170.0, made(), (), lost=True))
+    assert lost["requests a second that went there"].today == pytest.approx(910)
+    assert "requests a second that went there" not in by_name(lines_at_once("x", 170.0, made(), ()))
