--- a/benchmarks/capacity/laws.py
+++ b/benchmarks/capacity/laws.py
@@ -4,16 +4,28 @@
 
 import math
 from bisect import bisect_left
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from benchmarks.capacity.target import BUDGETS, TARGET
 from benchmarks.scale.fit import Slope, fit
 from benchmarks.scale.report import LAST, Run, Series, read
 
 RUNS = Path(__file__).parent.parent / "scale" / "runs"
 LEAST, MOST, STEP = 1e-6, 100.0, 1.05  # shares that are looked at, and how densely
 
+# What grows along a series' sizes, and how large it is at the target.
+SIZES: dict[str, float] = {
+    "servers": TARGET.servers,
+    "tenants": TARGET.tenants,
+    "nodes": TARGET.nodes,
+    "processes": TARGET.nodes,
+    "zones": TARGET.zones,
+    "classes": TARGET.routes,
+    "connections": BUDGETS["connections"].value,
+}
+
 
 class MissingSeries(LookupError):
     """A figure is wanted that no run has: which, and what there is."""
@@ -29,16 +41,18 @@
     run: Run
     series: Series
     subject: str  # the name of the run's file
+    points: list[tuple[float, float]] = field(init=False)  # by size, those of size 0 left out
     slope: Slope = field(init=False)
     first: Slope = field(init=False)  # of the first points
 
     def __post_init__(self) -> None:
-        points = [(x, y) for x, y in self.series.points if x > 0]
+        points = sorted((x, y) for x, y in self.series.points if x > 0)
         try:
             slope = fit(points, last=LAST)
-            first = fit(sorted(points)[:LAST])
+            first = fit(points[:LAST])
         except ValueError as error:
             raise ValueError(f"{self.name}: {error}") from None
+        object.__setattr__(self, "points", points)
         object.__setattr__(self, "slope", slope)
         object.__setattr__(self, "first", first)
 
@@ -48,10 +62,6 @@
         series = self.series
         return f"{self.subject}: {series.name}, {series.statistic}, over {series.over}{beside}"
 
-    @property
-    def points(self) -> list[tuple[float, float]]:
-        return sorted((x, y) for x, y in self.series.points if x > 0)
-
     @property
     def most(self) -> float:
         return self.points[-1][0]
@@ -67,6 +77,14 @@
         part = math.log(size / x0) / math.log(x1 / x0)
         return math.exp(math.log(y0) * (1 - part) + math.log(y1) * part)
 
+    @property
+    def left(self) -> float:
+        """By which factor the target lies beyond what was run; 1 where it was reached."""
+        size = SIZES.get(self.series.over)
+        if size is None:
+            raise ValueError(f"{self.name}: the target has no {self.series.over!r}; add it to `SIZES`")
+        return self.beyond(size)
+
     def beyond(self, size: float) -> float:
         """By which factor a size lies beyond the largest that was run; 1 where it does not."""
         return max(1.0, size / self.most)
@@ -84,6 +102,10 @@
         """ValueError where a file is no run."""
         return cls({path.stem: read(path) for path in sorted(folder.glob("*.json"))})
 
+    def first(self, names: Sequence[str]) -> str:
+        """The first of these that is kept; the first of all where none is."""
+        return next((name for name in names if name in self.runs), names[0])
+
     def law(self, subject: str, name: str, over: str, statistic: str | None = None, **fixed: float) -> Law:
         """The one series that fits; MissingSeries where none does, or several."""
         wanted = f"{name!r} over {over!r}" + (f", {statistic}" if statistic else "")
--- a/tests/benchmarks/test_storms.py
+++ b/tests/benchmarks/test_storms.py
@@ -21,7 +21,7 @@
     fixed = {"nodes_a_server": TARGET.nodes / TARGET.servers}
     return Runs({
         "control": Run("control", "", "", {}, [Series("whole list", "bytes", "servers", "one", sizes)]),
-        POLICY: Run("policy", "", "", {}, [Series("changed line", "us", "servers", "mean", line, fixed)]),
+        POLICY[0]: Run("policy", "", "", {}, [Series("changed line", "us", "servers", "mean", line, fixed)]),
     })  # fmt: skip
 
 
@@ -90,3 +90,9 @@
         assert storm.name.capitalize() in text
         for figure in storm.figures:
             assert set(figure.assumed) <= set(ASSUMED)
+
+
+def test_lost_servers_say_how_many_requests_went_there() -> None:
+    lost = by_name(lines_at_once("x", 170.0, made(), (), lost=True))
+    assert lost["requests a second that went there"].today == pytest.approx(910)
+    assert "requests a second that went there" not in by_name(lines_at_once("x", 170.0, made(), ()))
