Carry stores and followers over TCP, and plug both in as parts with commands

A node's list from stores ([members.distribution]), a store beside other parts or alone ([distribution], badgercart distribution store), put, get and status. Off unless a file has it. Frames stand behind their length; what is none of this group's, over its bound, or not read ends the connection and changes nothing. Two words are added to the vocabulary: StatusRequest and Status, which a store's driver answers, and WHOLE in place of a number in Subscribe, since 0 may be answered by the changes from the first on.

--- a/badgercart/core/roster.py
+++ b/badgercart/core/roster.py
@@ -62,7 +62,10 @@
         """Take over a list or its changes, and give its version; ValueError where the reader gives it.
 
         ValueError, too, where the policy broke over it: carriers have it then, and it is to come again."""
-        told = self.reader.read(raw, kind)
+        return self.take_read(self.reader.read(raw, kind))
+
+    def take_read(self, told: MemberList) -> int:
+        """As `take`, of lines that are read."""
         self.apply(told)
         if isinstance(self.join.spoilt, ServerList) and self.join.spoilt.version == told.version:
             self.join.spoilt = None
--- a/badgercart/distribution/follower.py
+++ b/badgercart/distribution/follower.py
@@ -19,6 +19,7 @@
     HEAD,
     MAX_FRAME,
     MAX_TOPICS,
+    WHOLE,
     Beat,
     Delta,
     Entry,
@@ -102,6 +103,7 @@
         self.staged_size = 0
         self.waits: set[str] = set()  # topics that an answer is owed for
         self.doubted: set[str] = set()  # topics of which ours may be wrong
+        self.unusable: set[str] = set()  # topics told whole again on this connection for what they held
         self.unknown: set[str] = set()  # topics of which it was said that nobody has them
         self.freshness = Freshness(rule or Rule())
         self.connection = 0  # the one that counts; whatever comes of others is passed over
@@ -132,6 +134,16 @@
         """ms since all topics were whole for sure; infinite where they never were."""
         return self.freshness.age(now)
 
+    def succeed(self, old: Follower) -> None:
+        """Go on from what another held, whose connections are closed. For one that has not begun."""
+        for topic, held in old.topics.items():
+            if topic in self.topics:
+                self.topics[topic], self.sizes[topic] = held, old.sizes[topic]
+        self.doubted = old.doubted & self.topics.keys()
+        self.unknown = old.unknown & self.topics.keys()
+        self.freshness = old.freshness
+        self.changes, self.dials, self.faults = old.changes, old.dials, old.faults
+
     # What happens.
 
     def start(self, now: float) -> list[Effect]:
@@ -187,10 +199,13 @@
             return self.leave(now, left.kind, str(left))
 
     def ask_whole(self, now: float, topic: str) -> list[Effect]:
-        """What was taken of this topic can't be used: have all of it told again."""
+        """What was taken of this topic can't be used: have all of it told again, once on one connection.
+
+        Where that is no better, its next change has it told again. Nothing is proven meanwhile."""
         self.doubted.add(topic)
-        if not self.up:
+        if not self.up or topic in self.unusable:
             return []
+        self.unusable.add(topic)
         try:
             return self.resubscribe(now, topic, "unusable", "what it holds can't be used")
         except Left as left:
@@ -210,6 +225,7 @@
         self.up = self.greeted = False
         self.again = 0
         self.staged.clear()
+        self.unusable.clear()
         self.staged_size = 0
         self.dial_at, self.move_at = self.later(now), math.inf
         self.failed += 1
@@ -226,7 +242,7 @@
     def subscription(self) -> Subscribe:
         return Subscribe(
             tuple(
-                (topic, 0, 0) if topic in self.doubted else (topic, held.number, held.digest)
+                (topic, WHOLE, 0) if topic in self.doubted else (topic, held.number, held.digest)
                 for topic, held in self.topics.items()
             )
         )
@@ -248,8 +264,10 @@
 
     def delta(self, now: float, message: Delta) -> list[Effect]:
         topic, held = message.topic, self.held(message.topic)
-        if topic in self.doubted:
-            return []  # only a whole makes that good
+        if topic in self.doubted:  # only a whole makes that good
+            if topic in self.waits:
+                return []
+            return self.resubscribe(now, topic, "unusable", f"change {message.number} may mend it")
         if message.number != held.number + 1 and (topic in self.waits or message.number <= held.number):
             if topic in self.waits or self.again:
                 return []  # written before the store read that we ask anew, or told twice for that
--- a/badgercart/distribution/journal.py
+++ b/badgercart/distribution/journal.py
@@ -46,6 +46,8 @@
 
     def compact(self, state: Recovered) -> None: ...
 
+    def close(self) -> None: ...
+
 
 class _First(msgspec.Struct, array_like=True, frozen=True):
     """A journal's first record."""
--- a/badgercart/distribution/messages.py
+++ b/badgercart/distribution/messages.py
@@ -21,6 +21,7 @@
 MAX_VALUE = 64 << 10  # bytes of one value
 MAX_ENTRIES = 4096  # of one change: it is in force whole or not at all
 MAX_TOPICS = 4096  # that one follower may ask for
+WHOLE = -1  # in place of a number: what I have may be wrong, and no change mends that
 NAME = 200  # characters of a topic, a key, a name
 
 
@@ -113,7 +114,7 @@
 
 
 class Subscribe(msgspec.Struct, tag="f", array_like=True, frozen=True):
-    """Tell me these topics, from the number and digest that I have; 0, 0: nothing.
+    """Tell me these topics, from the number and digest that I have; 0, 0: nothing; WHOLE, 0: all anew.
 
     Replaces what was asked for before."""
 
@@ -183,6 +184,25 @@
     words: str
 
 
+class StatusRequest(msgspec.Struct, tag="sq", array_like=True, frozen=True):
+    """How do you stand? Answered by the store's driver; the machine knows nothing of it."""
+
+
+class Status(msgspec.Struct, tag="st", array_like=True, frozen=True):
+    """How a store stands."""
+
+    name: str
+    role: str
+    leader: str  # who leads, as far as it knows; empty: nobody
+    term: int
+    committed: int
+    last: int  # place of its log
+    followers: int
+    topics: int
+    entries: int
+    age: float  # ms since it knew that it had all that was in force
+
+
 Message = (
     Hello
     | VoteRequest
@@ -197,6 +217,8 @@
     | No
     | Propose
     | Proposed
+    | StatusRequest
+    | Status
 )
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/badgercart/operator/registry.py
+++ b/badgercart/operator/registry.py
@@ -16,6 +16,7 @@
     "badgercart.zones.part",
     "badgercart.membership.part",
     "badgercart.membership.etcd.part",
+    "badgercart.distribution.part",
     "badgercart.fronts.http.part",
     "badgercart.fronts.processor.part",
     "badgercart.fronts.graphql.part",
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -18,6 +18,7 @@
     MAX_FRAME,
     MAX_TOPICS,
     MAX_VALUE,
+    WHOLE,
     Append,
     Beat,
     Codec,
@@ -189,7 +190,7 @@
     wrong = next_delta(A, state, x="5")
     told = rig.tell(Delta(A, wrong.number, wrong.digest ^ 1, wrong.entries))
     assert happened(told) == [("gap", "digest")] and rig.held() == had
-    assert subscribes(told) == [Subscribe(((A, 0, 0),))]
+    assert subscribes(told) == [Subscribe(((A, WHOLE, 0),))]
     assert rig.tell(wrong, Beat(0.0)) == [] and rig.held() == had  # only a whole makes it good
     (part,) = wholes(A, state)
     told = rig.tell(Whole(A, part.number, part.digest ^ 1, 1, 1, part.entries))
@@ -204,7 +205,7 @@
     wrong = next_delta(A, state, x="5")
     rig.tell(Delta(A, wrong.number, wrong.digest ^ 1, wrong.entries))
     rig.do(rig.follower.closed(rig.now, rig.connection))
-    assert rig.connect() == Subscribe(((A, 0, 0),))
+    assert rig.connect() == Subscribe(((A, WHOLE, 0),))
     rig.tell(Beat(0.0))
     assert rig.follower.age(rig.now) > 0
 
@@ -585,14 +586,22 @@
     state = rig.with_topic()
     rig.tell(next_delta(A, state, x="bad"))
     told = rig.do(rig.follower.ask_whole(rig.now, A))
-    assert happened(told) == [("gap", "unusable")] and subscribes(told) == [Subscribe(((A, 0, 0),))]
+    assert happened(told) == [("gap", "unusable")] and subscribes(told) == [Subscribe(((A, WHOLE, 0),))]
     rig.tell(Beat(0.0), after=20)
     assert rig.follower.age(rig.now) == 20  # not whole for sure until then
     (take,) = rig.tell(*wholes(A, state))
     assert isinstance(take, Take) and take.whole and take.number == 5
+    assert rig.do(rig.follower.ask_whole(rig.now, A)) == []  # it is no better: not in a circle
+    rig.tell(Beat(0.0), after=1000)
+    assert rig.follower.age(rig.now) == 1020
+    assert rig.follower.due == rig.now + TIMING.silence  # nobody owes anything
+    mended = next_delta(A, state, x="good")
+    assert subscribes(rig.tell(mended)) == [Subscribe(((A, WHOLE, 0),))]
+    rig.tell(*wholes(A, state), Beat(0.0))
+    assert rig.held()[A] == (6, state.entries) and rig.follower.age(rig.now) == 0
     rig.do(rig.follower.closed(rig.now, rig.connection))
     assert rig.do(rig.follower.ask_whole(rig.now, A)) == []
-    assert rig.connect() == Subscribe(((A, 0, 0),))
+    assert rig.connect() == Subscribe(((A, WHOLE, 0),))
 
 
 # Any order of anything.
