--- a/tests/distribution/test_properties.py
+++ b/tests/distribution/test_properties.py
@@ -10,6 +10,7 @@
 from badgercart.distribution.messages import Entry
 from badgercart.distribution.store import Store
 from badgercart.distribution.telling import Bounds
+from tests.distribution.broken import draw
 from tests.distribution.group import Group, Hollow, MemoryDisk
 
 TOPICS = ("a", "b")
@@ -116,3 +117,10 @@
 @given(plays)
 def test_five_voters_keep_their_promises(told: tuple[int, list[Any]]) -> None:
     play(5, 0, SMALL, *told)
+
+
+@settings(max_examples=60)
+@given(st.integers(0, 1 << 32), st.sampled_from([(3, None), (3, SMALL), (5, SMALL)]))
+def test_long_plays_in_which_the_leader_is_in_trouble(seed: int, shape: tuple[int, Bounds | None]) -> None:
+    voters, bounds = shape
+    play(voters, 0, bounds, seed, draw(seed))
