Play faults between real stores and nodes that follow numbered changes

Need: the mechanism has to be proven by real processes with faults between them: killed, stopped and woken, cut one way, spoilt frames, a store that lags or is emptied, two that think they lead.

Change: benchmarks/distribution.py, nine scenarios through the trial's switch; lab/trial/processes.py may start other commands.

--- /dev/null
+++ b/benchmarks/distribution.py
@@ -0,0 +1,468 @@
+"""Numbered changes between real processes: stores and nodes, with faults between them and to them.
+
+`python -m benchmarks.distribution [--nodes 6] [--changes 20] [--only NAME]`: three stores that vote and two
+that only tell, and nodes of `serve` whose list comes from them; each connection goes through a switch. Every
+scenario holds what must hold and prints what it took; a promise that is broken ends the command with 1. Times
+are this machine's, also as it was busy: they are figures, no verdicts, but for the bound of the drain.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from badgercart.config import Address
+from badgercart.distribution.driver import LENGTH, Client
+from badgercart.distribution.messages import (
+    WHOLE,
+    Codec,
+    Entry,
+    Hello,
+    No,
+    Propose,
+    Proposed,
+    Status,
+    StatusRequest,
+    Subscribe,
+    Whole,
+)
+from lab.trial.processes import NodeError, NodeProcess, Told
+from lab.trial.switch import Switch
+from standins.fleet import operators_file
+
+HERE = "127.0.0.1"
+GROUP, SECRET = "trial", "a secret of the trial"
+VOTERS, TELLING = ("store-1", "store-2", "store-3"), ("store-4", "store-5")
+STORES = VOTERS + TELLING
+TOPIC = "servers/dispatch"
+SERVERS = 100
+ANSWER = 3.0  # s for a store's answer
+WITHIN = 30.0  # s for anything that is waited for
+DRAIN = 500.0  # ms
+
+
+class Broken(Exception):
+    """A promise that did not hold."""
+
+
+def need(ok: bool, words: str) -> None:
+    if not ok:
+        raise Broken(words)
+
+
+class StoreProcess(NodeProcess):
+    """`python -m badgercart distribution store FILE`."""
+
+    command = ("distribution", "store")
+    listening = "distribution.listening"
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that nobody has; held all at once, so that they differ."""
+    held = [socket.create_server((HERE, 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
+
+
+def line(number: int, state: str = "active") -> Entry:
+    told = {
+        "instanceId": f"s-{number}", "hostPort": f"{HERE}:{10000 + number}", "zone": "angyalfold",
+        "machineType": "k2-fast", "cell": 0, "lifecycle": state, "weight": 1.0, "startedAtMs": 0,
+    }  # fmt: skip
+    return Entry(f"s-{number}", json.dumps(told).encode())
+
+
+class Group:
+    """All processes, and the switch between them."""
+
+    def __init__(self, folder: Path, nodes: int) -> None:
+        self.folder, self.switch, self.codec = folder, Switch(), Codec(GROUP, SECRET.encode())
+        self.real = dict(zip(STORES, ((HERE, port) for port in free_ports(len(STORES))), strict=True))
+        self.stores = {name: StoreProcess(name, folder / f"{name}.toml") for name in STORES}
+        self.nodes = {f"node-{n}": NodeProcess(f"node-{n}", folder / f"node-{n}.toml") for n in range(nodes)}
+        self.places = 0
+        self.number = 0  # of the topic, as it was last put in force
+        self.serial = 0
+
+    async def way(self, source: str, to: str) -> str:
+        """The address at which one reaches another through the switch."""
+        self.places += 1
+        name = f"{source}>{to}"
+        host = f"127.0.{1 + self.places // 250}.{1 + self.places % 250}"
+        await self.switch.add(name, self.real[to], (host, 0))
+        del self.switch.names[HERE]  # by its own address everybody is HERE
+        shown = self.switch.places[name].shown
+        return f"{shown[0]}:{shown[1]}"
+
+    async def start(self) -> None:
+        for name in STORES:
+            lines = [
+                f'[distribution]\nname = "{name}"\nlisten = "{HERE}:{self.real[name][1]}"\ngroup = "{GROUP}"',
+                f'secret = "{SECRET}"\nfolder = "{self.folder / name}"',
+            ]
+            for other in STORES:
+                shown = await self.way(name, other) if other > name else f"{HERE}:{self.real[other][1]}"
+                voter = str(other in VOTERS).lower()
+                lines.append(
+                    f'[[distribution.store]]\nname = "{other}"\naddress = "{shown}"\nvoter = {voter}'
+                )
+            self.stores[name].file.write_text("\n".join(lines) + '\n[log]\nformat = "json"\n')
+        for name, node in self.nodes.items():
+            ways = [await self.way(name, store) for store in STORES]
+            text = operators_file("").replace('[members]\ncatalog = ""', (
+                f'[members.distribution]\ngroup = "{GROUP}"\nsecret = "{SECRET}"\nservice = "dispatch"\n'
+                f'when_stale = "go-on"\nstale_after_ms = 4000\nstores = {json.dumps(ways)}'
+            )).replace('name = "demo"', f'name = "{name}"')  # fmt: skip
+            node.file.write_text(text)
+        await asyncio.gather(*(store.start() for store in self.stores.values()))
+        await self.put(tuple(line(n) for n in range(SERVERS)))
+        await asyncio.gather(*(node.start() for node in self.nodes.values()))
+        await self.all_have(self.number)
+
+    async def stop(self) -> None:
+        for process in (*self.nodes.values(), *self.stores.values()):
+            if process.process is not None and process.process.returncode is None:
+                process.wake()
+                await process.kill()
+        self.switch.close()
+
+    def cut(self, source: str, to: str, cut: bool = True) -> None:
+        """What one says does not come to the other; what that one says does."""
+        if f"{source}>{to}" in self.switch.places:
+            self.switch.set(HERE, f"{source}>{to}", cut=cut)
+        if f"{to}>{source}" in self.switch.places:
+            self.switch.set(f"{to}>{source}", HERE, cut=cut)
+
+    # What stores say.
+
+    async def ask(self, store: str, ask: Callable[[Client], Awaitable[Any]]) -> Any:
+        """None where it has no answer in time."""
+        try:
+            async with asyncio.timeout(ANSWER), Client(self.real[store], self.codec) as client:
+                return await ask(client)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return None
+
+    async def status(self, store: str) -> Status | None:
+        async def ask(client: Client) -> Status:
+            client.write(StatusRequest())
+            while not isinstance(told := await client.read(), Status):
+                pass
+            return told
+
+        found = await self.ask(store, ask)
+        return found if isinstance(found, Status) else None
+
+    async def propose(self, store: str, entries: tuple[Entry, ...]) -> Proposed | None:
+        self.serial += 1
+        serial = self.serial
+
+        async def ask(client: Client) -> Proposed:
+            client.write(Propose(serial, TOPIC, entries, -1))
+            while not isinstance(told := await client.read(), Proposed):
+                pass
+            return told
+
+        found = await self.ask(store, ask)
+        return found if isinstance(found, Proposed) else None
+
+    async def whole(self, store: str) -> tuple[int, dict[str, bytes | None]] | None:
+        """Number and entries of the topic there."""
+
+        async def ask(client: Client) -> tuple[int, dict[str, bytes | None]] | None:
+            client.write(Subscribe(((TOPIC, WHOLE, 0),)))
+            entries: dict[str, bytes | None] = {}
+            while True:
+                told = await client.read()
+                if isinstance(told, No):
+                    return None
+                if isinstance(told, Whole):
+                    entries |= {entry.key: entry.value for entry in told.entries}
+                    if told.part == told.parts:
+                        return told.number, entries
+
+        found: tuple[int, dict[str, bytes | None]] | None = await self.ask(store, ask)
+        return found
+
+    async def leader(self, among: tuple[str, ...] = STORES) -> str:
+        """The store that leads, of those that answer."""
+        async with asyncio.timeout(WITHIN):
+            while True:
+                told = [status for name in among if (status := await self.status(name)) is not None]
+                leading = [status for status in told if status.role == "leading"]
+                if leading:
+                    return max(leading, key=lambda status: status.term).name
+                await asyncio.sleep(0.05)
+
+    async def put(self, entries: tuple[Entry, ...], among: tuple[str, ...] = STORES) -> float:
+        """Have entries in force; when that was said, Unix s."""
+        async with asyncio.timeout(WITHIN):
+            while True:
+                told = await self.propose(await self.leader(among), entries)
+                if told is not None and not told.error:
+                    need(told.number >= self.number, f"number {told.number} came after {self.number}")
+                    self.number = told.number
+                    return time.time()
+
+    async def refused(self, store: str) -> str:
+        """Nothing can be put there: why. Broken where it can."""
+        told = await self.propose(store, (line(0, "leaving"), line(1, "leaving")))
+        need(told is None or bool(told.error), f"{store} put a change in force that it must not")
+        return "no answer" if told is None else told.error
+
+    # What nodes say.
+
+    async def all_have(self, number: int, but: tuple[str, ...] = ()) -> float:
+        """Unix s at which the last node had the list of that number in force."""
+
+        def fits(told: Told) -> bool:
+            return bool(told["version"] >= number)
+
+        nodes = [node for name, node in self.nodes.items() if name not in but]
+        told = await asyncio.gather(*(node.until("list.taken", fits) for node in nodes))
+        return max(datetime.fromisoformat(str(one["timestamp"])).timestamp() for one in told)
+
+    async def same(self) -> None:
+        """All stores have the same in force, in the end."""
+        async with asyncio.timeout(WITHIN):
+            while True:
+                found = [await self.whole(name) for name in STORES]
+                if all(one is not None and one == found[0] and one[0] == self.number for one in found):
+                    return
+                await asyncio.sleep(0.1)
+
+    def check(self) -> None:
+        """No node ever took an older list for a newer one, within a life."""
+        for name, node in self.nodes.items():
+            for life in range(1, node.lives + 1):
+                versions = [
+                    told["version"]
+                    for told in node.events
+                    if told["event"] == "list.taken" and told["life"] == life
+                ]
+                need(versions == sorted(versions), f"{name} took lists {versions}")
+
+
+Found = dict[str, Any]
+
+
+async def changes(group: Group, count: int) -> Found:
+    """Drains and returns, one after the other, with nothing else amiss."""
+    took = []
+    for step in range(count):
+        said = await group.put((line(step % SERVERS, "leaving" if step % 2 == 0 else "active"),))
+        took.append((await group.all_have(group.number) - said) * 1000)
+    # It may be in force at a node before the answer is with who asked: less than nothing then.
+    need(max(took) < DRAIN, f"a change bound after {max(took):.0f} ms")
+    return {"changes": count, "last node, median ms": sorted(took)[count // 2], "worst ms": max(took)}
+
+
+async def killed(group: Group, _: int) -> Found:
+    """The leader is killed; another leads; the first comes back from its folder."""
+    first, begun = await group.leader(), time.time()
+    await group.stores[first].kill()
+    rest = tuple(name for name in STORES if name != first)
+    said = await group.put((line(2, "leaving"),), rest)
+    there = await group.all_have(group.number)
+    await group.stores[first].start()
+    await group.put((line(2),))
+    await group.same()
+    await group.all_have(group.number)
+    return {"in force again after s": said - begun, "at the last node after s": there - begun}
+
+
+async def frozen(group: Group, _: int) -> Found:
+    """The leader is stopped, another leads, the first is woken and thinks that it leads."""
+    first = await group.leader()
+    group.stores[first].freeze()
+    rest = tuple(name for name in STORES if name != first)
+    await group.put((line(3, "leaving"),), rest)
+    asked = asyncio.ensure_future(group.refused(first))
+    await asyncio.sleep(0)
+    group.stores[first].wake()
+    words = await asked
+    await group.put((line(3),))
+    await group.same()
+    await group.all_have(group.number)
+    return {"the one that was woken": words}
+
+
+async def one_way(group: Group, _: int) -> Found:
+    """Nothing that the leader says comes to the other stores; it hears them."""
+    first, begun = await group.leader(), time.time()
+    rest = tuple(name for name in STORES if name != first)
+    for name in rest:
+        group.cut(first, name)
+    words = await group.refused(first)
+    said = await group.put((line(4, "leaving"),), rest)
+    for name in rest:
+        group.cut(first, name, False)
+    await group.same()
+    await group.all_have(group.number)
+    await group.put((line(4),))
+    return {"the one that is not heard": words, "in force elsewhere after s": said - begun}
+
+
+async def cut_off(group: Group, _: int) -> Found:
+    """A node is cut off from all stores: it goes on, says how old its list is, and takes what it missed."""
+    name, node = next(iter(group.nodes.items()))
+    for store in STORES:
+        group.cut(store, name)
+        group.cut(name, store)
+    place = len(node.events)
+    await group.put((line(5, "leaving"),))
+    await group.all_have(group.number, (name,))
+    await node.until("list.stale", since=place)
+    need(not any(told["event"] == "list.taken" for told in node.events[place:]), f"{name} heard of a change")
+    for store in STORES:
+        group.cut(store, name, False)
+        group.cut(name, store, False)
+    begun = time.time()
+    there = await group.all_have(group.number)
+    await group.put((line(5),))
+    await group.all_have(group.number)
+    return {"has what it missed after s": there - begun}
+
+
+async def no_majority(group: Group, _: int) -> Found:
+    """Two of three that vote are killed: nothing can be put; all nodes go on; then they come back."""
+    places = {name: len(node.events) for name, node in group.nodes.items()}
+    for name in VOTERS[:2]:
+        await group.stores[name].kill()
+    words = {name: await group.refused(name) for name in (VOTERS[2], *TELLING)}
+    need(set(words.values()) <= {"not-leading", "unknown", "no answer"}, f"they said {words}")
+    for name, node in group.nodes.items():
+        await node.until("list.stale", since=places[name])
+    begun = time.time()
+    await asyncio.gather(*(group.stores[name].start() for name in VOTERS[:2]))
+    said = await group.put((line(6, "leaving"),))
+    await group.all_have(group.number)
+    await group.put((line(6),))
+    await group.same()
+    return {"refused with": sorted(set(words.values())), "in force again after s": said - begun}
+
+
+async def spoilt(group: Group, _: int) -> Found:
+    """Frames that are none, of another version, of another secret, too long: refused, and nothing changes."""
+    store = TELLING[0]
+    good = group.codec.encode(Propose(1, TOPIC, (line(7, "leaving"),), -1))
+    other = Codec(GROUP, b"another secret of the trial").encode(Hello("x", False))
+    frames = {
+        "version": good[:2] + b"\x07" + good[3:],
+        "forged": good[:-1] + bytes((good[-1] ^ 1,)),
+        "stray": b"GET / HTTP/1.1\r\n\r\n      ",
+        "another secret": other,
+    }
+    for kind, frame in frames.items():
+        ended = await raw(group.real[store], LENGTH.pack(len(frame)) + frame)
+        need(ended, f"{store} kept a connection with a frame of kind {kind}")
+    need(await raw(group.real[store], LENGTH.pack(1 << 30)), "a frame of 1 GiB was waited for")
+    told = {told["kind"] for told in group.stores[store].events if told["event"] == "distribution.refused"}
+    need(bool(told), f"{store} named none")  # of a kind of event that comes often only some are logged
+    await group.same()
+    return {"logged as": sorted(told)}
+
+
+async def raw(address: Address, data: bytes) -> bool:
+    """Whether the other side ends the connection over this."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(data)
+        async with asyncio.timeout(ANSWER):
+            while await reader.read(65536):
+                pass
+        return True
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+    finally:
+        writer.close()
+
+
+async def emptied(group: Group, _: int) -> Found:
+    """A store that only tells comes back with an empty folder: it is told all, and tells nobody less."""
+    name = TELLING[1]
+    await group.stores[name].kill()
+    for path in sorted((group.folder / name).rglob("*"), reverse=True):
+        path.unlink()
+    begun = time.time()
+    await group.stores[name].start()
+    await group.put((line(8, "leaving"),))
+    await group.same()
+    took = time.time() - begun
+    await group.put((line(8),))
+    await group.all_have(group.number)
+    return {"has all after s": took}
+
+
+async def churn(group: Group, _: int) -> Found:
+    """Changes while stores are killed and started again, one after the other, by turns."""
+    lost = 0
+    for step, name in enumerate(STORES):
+        await group.stores[name].kill()
+        rest = tuple(other for other in STORES if other != name)
+        await group.put((line(20 + step, "leaving"),), rest)
+        await group.stores[name].start()
+        await group.put((line(20 + step),))
+        found = await group.whole(await group.leader())
+        need(found is not None, "the leader does not tell the topic")
+        assert found is not None
+        lost += any(found[1].get(line(20 + n).key) != line(20 + n).value for n in range(step + 1))
+    need(lost == 0, "what was in force is not in force any longer")
+    await group.same()
+    await group.all_have(group.number)
+    return {"stores killed": len(STORES), "changes": 2 * len(STORES), "lost": lost}
+
+
+SCENARIOS = (changes, killed, frozen, one_way, cut_off, no_majority, spoilt, emptied, churn)
+
+
+async def play(nodes: int, count: int, only: str | None) -> int:
+    broken = 0
+    with tempfile.TemporaryDirectory() as folder:
+        group = Group(Path(folder), nodes)
+        try:
+            await group.start()
+            for scenario in SCENARIOS:
+                if only is not None and scenario.__name__ != only:
+                    continue
+                try:
+                    found = await scenario(group, count)
+                    group.check()
+                    shown = {key: round(v, 2) if isinstance(v, float) else v for key, v in found.items()}
+                    print(f"{scenario.__name__}: {json.dumps(shown)}", flush=True)
+                except (Broken, NodeError, TimeoutError) as error:
+                    broken += 1
+                    print(f"{scenario.__name__}: BROKEN: {error!r:.600}", flush=True)
+                    for name, store in group.stores.items():
+                        print(f"  {name}: {await group.status(name)} {store.events[-3:]}", flush=True)
+                        if store.process is None or store.process.returncode is not None:
+                            await store.start()
+        finally:
+            await group.stop()
+    return broken
+
+
+def main(arguments: list[str]) -> int:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.distribution", description=__doc__)
+    parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--changes", type=int, default=20)
+    parser.add_argument("--only", choices=[scenario.__name__ for scenario in SCENARIOS])
+    chosen = parser.parse_args(arguments)
+    return 1 if asyncio.run(play(chosen.nodes, chosen.changes, chosen.only)) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/lab/trial/processes.py
+++ b/lab/trial/processes.py
@@ -23,6 +23,9 @@
 class NodeProcess:
     """`python -m badgercart serve FILE` under a name, over all its lives."""
 
+    command: tuple[str, ...] = ("serve",)
+    listening = "http.listening"  # what it says once it is up
+
     def __init__(self, name: str, file: Path) -> None:
         self.name, self.file = name, file
         self.events: list[Told] = []
@@ -30,16 +33,17 @@
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
         self.news = asyncio.Condition()
-        self.front = ""  # where its HTTP front listens
+        self.front = ""  # where it listens
 
     async def start(self) -> None:
         """NodeError where it does not come up."""
         self.lives += 1
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "badgercart", "serve", str(self.file), stderr=asyncio.subprocess.PIPE
+            *(sys.executable, "-B", "-m", "badgercart", *self.command, str(self.file)),
+            stderr=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.get_running_loop().create_task(self.read(self.process, self.lives))
-        listening = await self.until("http.listening")
+        listening = await self.until(self.listening)
         self.front = f"{listening['host']}:{listening['port']}"
 
     async def read(self, process: asyncio.subprocess.Process, life: int) -> None:
