Begin no attempt for a client whose close lies unread as it would be written

A client that closes has gone, and nothing may begin for it more than 0.1 s later.

Now put_on asks Join.wanted, which has the front look into its connection (Front.gone, one poll) and withdraws who has left; forgo gives up what has not left the process; a connection that is not needed is kept, not aborted.

Ruled out: waiting for the loop (a turn late, and not at all with reading paused), and looking only where reading is paused, which is what `take` does.

--- a/badgercart/carriers/pool/attempts.py
+++ b/badgercart/carriers/pool/attempts.py
@@ -17,7 +17,7 @@
     """Where an attempt is."""
 
     DIALLING = 0  # no byte has been sent
-    SENT = 1  # given to the transport: it may have run
+    SENT = 1  # given to the transport: it may have run, unless some of it is still there
     SENDING = 2  # the request comes in and goes on: it can't have run before its last byte
     STREAMING = 3  # the answer has begun to go on
 
@@ -25,8 +25,16 @@
 # How an attempt may end from where it is. One that was not sent never ran, and one that was may have.
 ENDS: dict[At, tuple[Result, ...]] = {
     At.DIALLING: (Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT),
-    At.SENT: (Result.OK, Result.ERROR, Result.FULL, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
-    At.SENDING: (Result.OK, Result.ERROR, Result.FULL, Result.UNREACHABLE, Result.CANCELLED),
+    At.SENT: (
+        Result.OK,
+        Result.ERROR,
+        Result.FULL,
+        Result.RESET,
+        Result.TIMEOUT,
+        Result.CANCELLED,
+        Result.NOT_SENT,
+    ),  # fmt: skip
+    At.SENDING: (Result.OK, Result.ERROR, Result.FULL, Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT),
     At.STREAMING: (Result.OK, Result.ERROR, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
 }
 OVERDUE = {
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -126,6 +126,12 @@
             message.upload.on_data = self.send_on
             self.send_on()
 
+    def all_sent(self) -> bool:
+        """Whether the request that it carries has left this process."""
+        if self.attempt is not None and self.attempt.at is At.SENT:
+            return self.transport.is_closing() or not self.transport.get_write_buffer_size()
+        return self.attempt is None or self.attempt.at is not At.SENDING
+
     # A request that comes in, and an answer that goes on, as they come.
 
     def send_on(self) -> None:
@@ -385,13 +391,17 @@
         Meanwhile its request may have ended, its time passed, or its server begun to drain."""
         server = attempt.server
         fit = attempt.version == server.version and server.state is State.READY
+        fit = fit and not connection.transport.is_closing()
         left = attempt.deadline - now_ms()
-        why = hindrance(self.wanted(attempt.request_id), fit and not connection.transport.is_closing(), left)
+        why = hindrance(self.wanted(attempt.request_id), fit, left)
         if why is None:
             connection.start(attempt)
+            return
+        if why is Result.NOT_SENT and fit:  # nothing is wrong with it
+            self.park(connection)
         else:
             connection.transport.abort()
-            self.end(attempt, why)
+        self.end(attempt, why)
 
     def hold(self) -> int:
         return self.room.hold
@@ -508,9 +518,10 @@
             self.drop(attempt, Result.CANCELLED)
 
     def forgo(self, request_id: int, number: int) -> None:
-        """Nobody waits for it: nothing of it is written that has not been."""
+        """Nobody waits for it: what has not been written of it never is. A server begins a request with its
+        last byte, so one whose last byte is still here never runs."""
         attempt = self.attempts.get((request_id, number))
-        if attempt is not None and attempt.at is At.DIALLING:
+        if attempt is not None and not (attempt.connection and attempt.connection.all_sent()):
             self.drop(attempt, Result.NOT_SENT)
 
     def drop(self, attempt: Attempt, result: Result) -> None:
--- a/badgercart/core/join.py
+++ b/badgercart/core/join.py
@@ -253,6 +253,16 @@
 
     # From carriers.
 
+    def wanted(self, request_id: int) -> bool:
+        """Whether a request still waits, asked before an attempt for it is written. Its client may have left
+        with that unread: who has is withdrawn here."""
+        if (held := self.held.get(request_id)) is None:
+            return False
+        if held.front.gone():
+            self.withdraw(request_id)
+            return False
+        return True
+
     def ended(
         self,
         request_id: int,
--- a/badgercart/core/ports.py
+++ b/badgercart/core/ports.py
@@ -56,7 +56,7 @@
 
 
 class Front(Protocol):
-    """Whoever owes the answer to one request. Each call is the final one for that request."""
+    """Whoever owes the answer to one request. Each of the first three calls is the final one for it."""
 
     def answered(self, answer: Answer) -> None:
         """A server has answered: pass it on."""
@@ -67,6 +67,9 @@
     def failed(self, broken: bool) -> None:
         """Nothing is promised: the request may have run, or, where `broken`, the node itself failed."""
 
+    def gone(self) -> bool:
+        """Whether its client has left, and that is seen only now: asked before each attempt is written."""
+
 
 class StreamingFront(Front, Protocol):
     """One whose work may ask for answers that go on as they come."""
@@ -88,7 +91,7 @@
         """Stop waiting for an attempt; its end is reported as any other."""
 
     def forgo(self, request_id: int, number: int) -> None:
-        """Its request is over: an attempt of which nothing has gone out yet never goes out, and ends so."""
+        """Its request is over: an attempt whose last byte has not gone out never goes out, and ends so."""
 
 
 class Handle(Protocol):
--- a/badgercart/fronts/graphql/execution.py
+++ b/badgercart/fronts/graphql/execution.py
@@ -66,6 +66,9 @@
         code = "INTERNAL_SERVER_ERROR" if broken else "FAILED"
         self.end(instead=error("failed: it may have run", code))
 
+    def gone(self) -> bool:
+        return self.execution.gone()
+
     def usable(self) -> bool:
         """Whether the last reply holds some data: what came with errors is still worth more than none."""
         return self.reply is not None and self.reply.data is not None
@@ -91,8 +94,10 @@
         join: Join,
         carrier: Carrier,
         on_end: Callable[[dict[str, Any], float | None], None],
+        gone: Callable[[], bool],
     ) -> None:
-        self.plan, self.join, self.carrier, self.on_end = plan, join, carrier, on_end
+        """`gone`: whether the client has left, and that is seen only now."""
+        self.plan, self.join, self.carrier, self.on_end, self.gone = plan, join, carrier, on_end, gone
         self.calls = [PartCall(self, number, order) for number, order in enumerate(orders)]
         self.outcomes: list[Outcome | None] = [None] * len(orders)
         self.local = local
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -141,7 +141,7 @@
             room * 3 // 8,
             self.carrier.ended,
             source=config.source,
-            wanted=join.held.__contains__,
+            wanted=join.wanted,
         )
         roster.on_change.append(self.pool.update)
         self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read, bad_request)
@@ -222,7 +222,7 @@
             client.answer(status, json.dumps(told).encode(), media.encode(), after)
 
         local = self.local(plan, operation, document, asked) if plan.local else None
-        execution = Execution(plan, orders, local, self.join, self.carrier, on_end)
+        execution = Execution(plan, orders, local, self.join, self.carrier, on_end, client.gone)
         self.open[number] = execution
         execution.start()
 
--- a/badgercart/fronts/http/clients.py
+++ b/badgercart/fronts/http/clients.py
@@ -275,7 +275,7 @@
             self.looking = self.loop.call_later(LOOK, self.look)
 
     def look(self) -> None:
-        for client in [client for client in self.unheard if client.gone()]:
+        for client in [client for client in self.unheard if client.left()]:
             self.unheard.discard(client)
             client.transport.abort()
         self.looking = self.loop.call_later(LOOK, self.look) if self.unheard else None
@@ -387,7 +387,7 @@
         """Whether something has come that the loop has not read yet."""
         return self.shows(select.POLLIN)
 
-    def gone(self) -> bool:
+    def left(self) -> bool:
         """Whether the client has left, or the connection is broken, behind whatever lies unread."""
         return self.shows(LEFT)
 
@@ -400,6 +400,9 @@
 
     # From the join.
 
+    def gone(self) -> bool:
+        return self.transport.is_closing() or self.left()
+
     def answered(self, answer: Answer) -> None:
         self.request_id = 0
         self.machine.answer(self.listener.loop.time(), answer.status, answer.body, answer.content_type, b"")
@@ -485,7 +488,7 @@
         return self.listener.words(status, why)
 
     def take(self, request: ClientRequest) -> None:
-        if self in self.listener.unheard and self.gone():
+        if self in self.listener.unheard and self.left():
             self.transport.abort()  # its end comes in the next turn, and nobody waits until then
             return
         self.listener.handler.take(self, request)
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -45,7 +45,7 @@
         self.bulk = Room(room_of(config.memory_mb))
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, join.ended,
-            join.began, self.bulk, config.source, join.held.__contains__,
+            join.began, self.bulk, config.source, join.wanted,
         )  # fmt: skip
         roster.on_change.append(self.pool.update)
         read = platform_requests(config, streams=True)
--- a/badgercart/fronts/processor/machine.py
+++ b/badgercart/fronts/processor/machine.py
@@ -152,6 +152,10 @@
     def failed(self, broken: bool) -> None:
         self.conclude(Immediate(500, why="broken") if broken else Immediate(502, why="failed"))
 
+    def gone(self) -> bool:
+        """It is the proxy that knows of its clients, and ends their streams."""
+        return False
+
     def conclude(self, verdict: Immediate) -> None:
         """The final answer: to the stream that waits for it, else kept for the stream's response headers."""
         self.verdict = verdict
--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -70,6 +70,9 @@
 
     def cancel(self, request_id: int, number: int) -> None: ...
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None: ...
 
     def forgo(self, request_id: int, number: int) -> None: ...
--- a/benchmarks/processor.py
+++ b/benchmarks/processor.py
@@ -254,6 +254,9 @@
     """The cost of a decision alone, in the join and the policy, as the fleet grows."""
 
     class Nobody:
+        def gone(self) -> bool:
+            return False
+
         def answered(self, answer: Any) -> None: ...
         def refused(self, wait: float) -> None: ...
         def failed(self, broken: bool) -> None: ...
--- a/lab/model.py
+++ b/lab/model.py
@@ -64,6 +64,9 @@
             self.world.watch.answered_twice(self.ask.number)
         return self.answers == 1 and not self.left
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None:
         if self.final():
             self.world.served(self)
--- a/tests/capture/support.py
+++ b/tests/capture/support.py
@@ -90,6 +90,9 @@
     def forgo(self, request_id: int, number: int) -> None:
         """All that is sent is out at once."""
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None:
         self.answers += 1
 
--- a/tests/ends/test_orders.py
+++ b/tests/ends/test_orders.py
@@ -62,6 +62,9 @@
         self.ends.append(how)
         assert len(self.ends) == 1, self.ends
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None:
         assert answer.body.decode() in (f"r{self.number}", ""), "the answer of another"
         self.end("answered")
--- a/tests/ends/virtual.py
+++ b/tests/ends/virtual.py
@@ -101,6 +101,9 @@
         assert not self.closing, "written on a connection that is closed"
         self.on_write(self, bytes(data))
 
+    def get_write_buffer_size(self) -> int:
+        return 0  # what is written has gone out
+
     def is_closing(self) -> bool:
         return self.closing
 
--- a/tests/etcd/test_faults.py
+++ b/tests/etcd/test_faults.py
@@ -66,6 +66,9 @@
 
     def forgo(self, request_id: int, number: int) -> None: ...
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None: ...
 
     def refused(self, wait: float) -> None:
--- a/tests/net.py
+++ b/tests/net.py
@@ -224,6 +224,9 @@
 class Nobody:
     """A front that does nothing with its answers."""
 
+    def gone(self) -> bool:
+        return False
+
     def answered(self, answer: Answer) -> None: ...
 
     def refused(self, wait: float) -> None: ...
