Drop empty buckets with new settings, as with a new company

What is kept is what has something in it; between two such events there is one for each tenant that asked, at most. tests/policy/test_slopes.py asks for all of it: 1,000 tenants, 1,000 buckets, under 100 after new settings.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -170,7 +170,7 @@
     def settle_terms(self, event: Retuned) -> None:
         """Put settings in force: what was learned of a class that stays is kept."""
         kept = [t for t in self.buckets if t < len(event.settings.quotas) and t not in event.tenants]
-        self.buckets = {t: (self.used_by(t), self.leaked) for t in kept}
+        self.buckets = {t: (used, self.leaked) for t in kept if (used := self.used_by(t)) > 0}
         self.settings = settings = event.settings
         had, n, classes = len(self.usual), len(settings.classes), settings.classes
         self.pace = min(1.0, min(classes[i].aim for i in event.live) / AIM)
--- a/tests/policy/test_slopes.py
+++ b/tests/policy/test_slopes.py
@@ -162,9 +162,14 @@
     policy.handle(3000.0, Request(90, 0, 4000.0, tenant=999))
     policy.handle(3001.0, Company(1, 0, 2))
     assert policy.buckets.keys() == {999}
+    for number in range(3000):
+        policy.handle(3001.0 + number, Request(100 + number, 0, 9000.0, tenant=number % 1000))
+    assert len(policy.buckets) == 1000  # at most one a tenant
+    policy.handle(6001.0, Retuned(policy.settings, frozenset({0})))
+    assert 0 < len(policy.buckets) < 100  # those with something in them yet
     settings = Settings(policy.settings.classes, quotas=(50.0,) * 10)
-    policy.handle(3002.0, Retuned(settings, frozenset({0})))
-    assert policy.buckets == {}  # of a tenant that is none any longer
+    policy.handle(6002.0, Retuned(settings, frozenset({0})))
+    assert all(tenant < 10 for tenant in policy.buckets)  # none of a tenant that is none any longer
 
 
 class Eager(Policy):
