Ask only the servers that were sent to who is still busy, and measure what a plan and a company cost

A reload asked all servers for their attempts (policy.busy): those with any were sent to, and are known for the halving.

benchmarks/scale/policy.py has further series over servers: busy, a company without parts, and with a plan over eleven zones a company, a changed line and a decision. Not run at the target yet.

--- a/benchmarks/scale/policy.py
+++ b/benchmarks/scale/policy.py
@@ -25,6 +25,7 @@
     Effect,
     ListKind,
     Outcome,
+    Planned,
     Request,
     RequestClass,
     Result,
@@ -37,6 +38,7 @@
 )
 
 SERVERS, NODES, TENANTS, CLASSES = 170_000, 8_600, 290_000, 64  # the target
+ZONES = 11
 DECISIONS = 6000  # a ms apart: with 120 upkeeps, one of them a halving
 LINES = 200
 FLEET_OF_TENANTS = 100  # servers
@@ -54,7 +56,7 @@
 def entry(number: int, state: State = State.READY) -> ServerEntry:
     """Three kinds, two sizes, eleven zones: ids scatter as those of names do."""
     server = number * 0x9E3779B97F4A7C15 % (1 << 62) + 1
-    return ServerEntry(server, number % 11, number % 3, number % 4, state, 1.0 + number % 2, 0.0)
+    return ServerEntry(server, number % ZONES, number % 3, number % 4, state, 1.0 + number % 2, 0.0)
 
 
 class Stage:
@@ -118,6 +120,21 @@
         every = frozenset(range(len(self.settings.classes)))
         return self.give(Retuned(self.settings, every))[0]
 
+    def planned(self) -> float:
+        """An even plan over the zones."""
+        even = (1 / ZONES,) * ZONES
+        return self.give(Planned((even,) * 2 * len(self.settings.classes), (0.01,) * ZONES))[0]
+
+    def busy(self) -> float:
+        """What a reload asks: who still has requests."""
+        begun = time.thread_time_ns()
+        self.policy.busy()
+        return (time.thread_time_ns() - begun) / 1000
+
+    def peers(self) -> float:
+        """The company is told again, without tenants' parts."""
+        return self.give(Company(self.settings.group_size, self.settings.me, self.settings.group_size))[0]
+
     def company(self) -> float:
         """Each tenant's part is told anew."""
         parts = tuple([self.random.uniform(0.01, 0.2) for _ in self.settings.quotas])
@@ -162,7 +179,15 @@
         found.note("rack drains", "us", "one", size, stage.rack())
         stage.place()
         found.note("whole list again", "us", "one", size, stage.whole_list())
-        found.note("retuned", "us", "median", size, statistics.median(stage.retuned() for _ in range(5)))
+        for name, call in (("retuned", stage.retuned), ("busy", stage.busy), ("company", stage.peers)):
+            found.note(name, "us", "median", size, statistics.median(call() for _ in range(5)))
+        stage.place()
+        found.note("plan", "us", "first", size, stage.planned())
+        found.note(
+            "company, planned", "us", "median", size, statistics.median(stage.peers() for _ in range(5))
+        )
+        found.spread("changed line, planned", size, stage.lines(40))
+        found.spread("decision, planned", size, stage.decisions(1000))
         print(f"policy: {size} servers, {stage.settings.group_size} nodes", file=sys.stderr, flush=True)
     return found.series()
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -223,7 +223,7 @@
     def busy(self) -> tuple[set[int], set[int]]:
         """Classes and tenants that a request or an attempt still has."""
         jobs = [*self.jobs.values()]
-        for server in self.servers.values():
+        for server in (self.servers[server_id] for server_id in self.touched & self.servers.keys()):
             jobs += [*(job for job, _ in server.open.values()), *server.uploads.values()]
         requests = [job.request for job in (*jobs, *self.streams.values())]
         return {request.cls for request in requests}, {request.tenant for request in requests}
--- a/tests/policy/test_slopes.py
+++ b/tests/policy/test_slopes.py
@@ -11,6 +11,7 @@
 import sys
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from types import FrameType
 from typing import Any
 
@@ -34,6 +35,7 @@
     ServerList,
     Settings,
     State,
+    Withdrawn,
 )
 from cottonhall.rules import SHARE_HALF, UPKEEP, Policy, mix
 
@@ -68,6 +70,10 @@
 
 def steps(policy: Policy, now: float, event: Event) -> int:
     """How many of the interpreter's steps the module takes to handle an event."""
+    return count(lambda: policy.handle(now, event))
+
+
+def count(call: Callable[[], Any]) -> int:
     taken = 0
 
     def step(frame: FrameType, what: str, argument: Any) -> Any:
@@ -80,7 +86,7 @@
     before = sys.gettrace()
     sys.settrace(step)
     try:
-        policy.handle(now, event)
+        call()
     finally:
         sys.settrace(before)
     return taken
@@ -363,6 +369,25 @@
     is_flat(cost, SERVERS)
 
 
+def test_who_is_busy_is_known_without_a_look_at_all_servers() -> None:
+    def cost(servers: int) -> int:
+        policy = fleet(servers, tenants=9)
+        (sent,) = policy.handle(2.0, Request(1, 0, 1000.0, tenant=7))
+        assert isinstance(sent, Send)
+        policy.handle(3.0, Withdrawn(1))  # the attempt is out still
+        policy.handle(4.0, ServerList(ListKind.DELTA, 2, [replace_state(policy, sent.server, State.GONE)]))
+        assert policy.busy() == ({0}, {7})
+        policy.handle(5.0, Outcome(1, sent.server, True, Result.OK, 0, 3.0))
+        assert policy.busy() == (set(), set())
+        return count(policy.busy)
+
+    is_flat(cost, SERVERS)
+
+
+def replace_state(policy: Policy, server_id: int, state: State) -> ServerEntry:
+    return replace(policy.servers[server_id].entry, state=state)
+
+
 def test_a_halving_costs_a_look_at_the_servers_that_were_sent_to() -> None:
     def cost(servers: int) -> int:
         policy = fleet(servers, nodes=nodes_for(servers))
