--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -170,7 +170,7 @@
     def settle_terms(self, event: Retuned) -> None:
         """Put settings in force: what was learned of a class that stays is kept."""
         kept = [t for t in self.buckets if t < len(event.settings.quotas) and t not in event.tenants]
-        self.buckets = {t: (self.used_by(t), self.leaked) for t in kept}
+        self.buckets = {t: (used, self.leaked) for t in kept if (used := self.used_by(t)) > 0}
         self.settings = settings = event.settings
         had, n, classes = len(self.usual), len(settings.classes), settings.classes
         self.pace = min(1.0, min(classes[i].aim for i in event.live) / AIM)
@@ -223,7 +223,7 @@
     def busy(self) -> tuple[set[int], set[int]]:
         """Classes and tenants that a request or an attempt still has."""
         jobs = [*self.jobs.values()]
-        for server in self.servers.values():
+        for server in (self.servers[server_id] for server_id in self.touched & self.servers.keys()):
             jobs += [*(job for job, _ in server.open.values()), *server.uploads.values()]
         requests = [job.request for job in (*jobs, *self.streams.values())]
         return {request.cls for request in requests}, {request.tenant for request in requests}
--- a/tests/policy/test_slopes.py
+++ b/tests/policy/test_slopes.py
@@ -11,6 +11,7 @@
 import sys
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from types import FrameType
 from typing import Any
 
@@ -34,6 +35,7 @@
     ServerList,
     Settings,
     State,
+    Withdrawn,
 )
 from cottonhall.rules import SHARE_HALF, UPKEEP, Policy, mix
 
@@ -68,6 +70,10 @@
 
 def steps(policy: Policy, now: float, event: Event) -> int:
     """How many of the interpreter's steps the module takes to handle an event."""
+    return count(lambda: policy.handle(now, event))
+
+
+def count(call: Callable[[], Any]) -> int:
     taken = 0
 
     def step(frame: FrameType, what: str, argument: Any) -> Any:
@@ -80,7 +86,7 @@
     before = sys.gettrace()
     sys.settrace(step)
     try:
-        policy.handle(now, event)
+        call()
     finally:
         sys.settrace(before)
     return taken
@@ -162,9 +168,14 @@
     policy.handle(3000.0, Request(90, 0, 4000.0, tenant=999))
     policy.handle(3001.0, Company(1, 0, 2))
     assert policy.buckets.keys() == {999}
+    for number in range(3000):
+        policy.handle(3001.0 + number, Request(100 + number, 0, 9000.0, tenant=number % 1000))
+    assert len(policy.buckets) == 1000  # at most one a tenant
+    policy.handle(6001.0, Retuned(policy.settings, frozenset({0})))
+    assert 0 < len(policy.buckets) < 100  # those with something in them yet
     settings = Settings(policy.settings.classes, quotas=(50.0,) * 10)
-    policy.handle(3002.0, Retuned(settings, frozenset({0})))
-    assert policy.buckets == {}  # of a tenant that is none any longer
+    policy.handle(6002.0, Retuned(settings, frozenset({0})))
+    assert all(tenant < 10 for tenant in policy.buckets)  # none of a tenant that is none any longer
 
 
 class Eager(Policy):
@@ -358,6 +369,25 @@
     is_flat(cost, SERVERS)
 
 
+def test_who_is_busy_is_known_without_a_look_at_all_servers() -> None:
+    def cost(servers: int) -> int:
+        policy = fleet(servers, tenants=9)
+        (sent,) = policy.handle(2.0, Request(1, 0, 1000.0, tenant=7))
+        assert isinstance(sent, Send)
+        policy.handle(3.0, Withdrawn(1))  # the attempt is out still
+        policy.handle(4.0, ServerList(ListKind.DELTA, 2, [replace_state(policy, sent.server, State.GONE)]))
+        assert policy.busy() == ({0}, {7})
+        policy.handle(5.0, Outcome(1, sent.server, True, Result.OK, 0, 3.0))
+        assert policy.busy() == (set(), set())
+        return count(policy.busy)
+
+    is_flat(cost, SERVERS)
+
+
+def replace_state(policy: Policy, server_id: int, state: State) -> ServerEntry:
+    return replace(policy.servers[server_id].entry, state=state)
+
+
 def test_a_halving_costs_a_look_at_the_servers_that_were_sent_to() -> None:
     def cost(servers: int) -> int:
         policy = fleet(servers, nodes=nodes_for(servers))
