Have rows for the reader, the roster and reloads where they are run, and the policy's mend

Rows by the subjects lists and configuration stand as soon as their runs are kept, as do the 500 changes in a minute; a table holds the policy before its loops are mended against after.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -7,8 +7,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import fields
 
-from benchmarks.capacity.laws import LEAST, Law, Runs
-from benchmarks.capacity.rows import Need, Ranked, Role, line_bytes, ranking, roles, told
+from benchmarks.capacity.laws import LEAST, Law, Runs, break_share
+from benchmarks.capacity.rows import A_SERVER, POLICY, Need, Ranked, Role, line_bytes, ranking, roles, told
 from benchmarks.capacity.storms import Storm, served_servers, storms
 from benchmarks.capacity.target import ASSUMED, BUDGETS, TARGET, Budget
 from benchmarks.scale import SUBJECTS
@@ -183,6 +183,34 @@
     ))  # fmt: skip
 
 
+def breaks(law: Law, size: float, budget: float) -> float:
+    """The share at which one law by itself breaks a budget."""
+    return break_share(lambda part: law(part * size), budget)
+
+
+def mended_table(runs: Runs) -> str:
+    """The policy before and after its loops over all tenants and servers were mended."""
+    if not all(name in runs.runs for name in POLICY):
+        return "Not run anew yet: `python -m benchmarks.scale --only policy`."
+    wanted: tuple[tuple[str, str, str, dict[str, float], float, float], ...] = (
+        ("decision", "servers", "99th", {"nodes_a_server": A_SERVER}, TARGET.servers,
+         BUDGETS["decision"].value),
+        ("decision", "tenants", "99th", {}, TARGET.tenants, BUDGETS["decision"].value),
+        ("changed line", "servers", "mean", {"nodes_a_server": A_SERVER}, TARGET.servers,
+         1000 * BUDGETS["standstill"].value),
+        ("changed line", "servers", "mean", {"nodes": 1}, TARGET.servers, 1000 * BUDGETS["standstill"].value),
+    )  # fmt: skip
+    rows = []
+    for name, over, statistic, fixed, size, budget in wanted:
+        after, before = (runs.law(run, name, over, statistic, **fixed) for run in POLICY)
+        shares = [breaks(law, size, budget) for law in (before, after)]
+        rows.append((
+            after.name.partition(": ")[2], *(number(law(size), "µs") for law in (before, after)),
+            number(budget, "µs"), *(share(one) for one in shares),
+        ))  # fmt: skip
+    return table(("cost", "before", "after", "budget", "broke at", "breaks at"), rows)
+
+
 def not_run(runs: Runs) -> str:
     subjects = {run.subject for run in runs.runs.values()}
     missing = [name for name in SUBJECTS if name not in subjects]
@@ -209,7 +237,7 @@
 
 def tables(runs: Runs) -> Tables:
     """All parts of the page, by name."""
-    found, bad, anew = roles(runs), storms(runs), told(runs)
+    found, bad, anew, mended = roles(runs), storms(runs), told(runs), mended_table(runs)
     ids = {name: f"S{number}" for number, name in enumerate(runs.used, 1)}
     return {
         "three": three(runs, found, ranking(found)),
@@ -218,6 +246,7 @@
         "ranking": ranking_table(ranking(found)),
         "needs": needs_table(found, ids),
         "told": needs_table(anew, ids) if anew else NOT_BUILT,
+        "mended": mended,
         "storms": storms_table(bad, ids),
         "not run": not_run(runs),
         "slopes": slopes_table(list(runs.used.values()), ids),
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -9,6 +9,7 @@
 
 from badgercart.membership.etcd.follower import MAX_ENTRIES
 from badgercart.membership.texts import MOST as MOST_LIST
+from badgercart.operator.document import MAX_FILE
 from badgercart.peers.member import PASSED_ON
 from badgercart.peers.queue import most_times
 from badgercart.peers.uses import MAX_TENANTS as MOST_SHARED
@@ -142,6 +143,8 @@
 
 def line_bytes(runs: Runs) -> Law:
     """Bytes of a list of so many lines, as the catalog words it."""
+    if "lists" in runs.runs:
+        return runs.law("lists", "whole list", "servers", "one")
     return runs.law("control", "whole list", "servers")
 
 
@@ -150,6 +153,62 @@
     return runs.law(runs.first(POLICY), "changed line", "servers", "mean", nodes_a_server=A_SERVER)
 
 
+def list_needs(runs: Runs) -> tuple[Need, ...]:
+    """What the reader and the roster take; nothing where they were not run."""
+    if "lists" not in runs.runs:
+        return ()
+    TOLD = Mechanism.TOLD
+    line, whole = (runs.law("lists", what, "servers", "median") for what in ("changed line", "whole list"))
+    peak = runs.law("lists", "memory, peak of taking a list", "servers")
+    return (
+        Need("processor", "changed lines read and taken, the mean of a day", "of a core",
+             lambda t: t.lines * line(t.servers) / 1e6, BUDGETS["core"], TOLD, (line,),
+             ("lines of a restart", "lines of a failure")),
+        Need("time", "the whole list read and taken holds the loop", "ms", lambda t: whole(t.servers) / 1000,
+             BUDGETS["long standstill"], TOLD, (whole,), plain=True),
+        Need("memory", "the peak as a whole list is taken", "MB", lambda t: peak(t.servers) / 1e6,
+             BUDGETS["memory"], TOLD, (peak,), plain=True),
+    )  # fmt: skip
+
+
+RELOAD = ("reload: read and check", "reload: renumber", "reload: policy")
+
+
+def reload(runs: Runs, over: str) -> tuple[Law, ...]:
+    """The steps of a reload, each in µs."""
+    return tuple(runs.law("configuration", step, over) for step in RELOAD)
+
+
+def config_needs(runs: Runs) -> tuple[Need, ...]:
+    """What a reload takes; nothing where it was not run."""
+    if "configuration" not in runs.runs:
+        return ()
+    TOLD = Mechanism.TOLD
+    tenants, classes = reload(runs, "tenants"), reload(runs, "classes")
+    file = runs.law("configuration", "platform's file", "tenants")
+    theirs = runs.law("configuration", "operator's file", "tenants")
+    peak = runs.law("configuration", "memory, peak of reading", "tenants")
+
+    def sum_of(steps: Sequence[Law], size: float) -> float:
+        return sum(step(size) for step in steps) / 1e6
+
+    return (
+        Need("processor", "the whole file read for each change, all tenants", "of a core",
+             lambda t: t.config_changes * sum_of(tenants, t.tenants), BUDGETS["core"], TOLD, tenants),
+        Need("time", "a reload holds the loop, all tenants", "ms", lambda t: 1000 * sum_of(tenants,
+                                                                                           t.tenants),
+             BUDGETS["long standstill"], TOLD, tenants),
+        Need("time", "a reload holds the loop, a class for each route", "ms",
+             lambda t: 1000 * sum_of(classes, t.routes), BUDGETS["long standstill"], TOLD, classes),
+        Need("messages in", "the whole file for each change, the mean of a day", "B/s",
+             lambda t: t.config_changes * file(t.tenants), BUDGETS["bytes"], TOLD, (file,)),
+        Need("limit", "bytes of an operator's file, all tenants", "bytes", lambda t: theirs(t.tenants),
+             limit(MAX_FILE, "bytes", "badgercart.operator.document.MAX_FILE"), TOLD, (theirs,)),
+        Need("memory", "the peak as a file is read, all tenants", "MB", lambda t: peak(t.tenants) / 1e6,
+             BUDGETS["memory"], TOLD, (peak,), plain=True),
+    )  # fmt: skip
+
+
 def member_needs(runs: Runs) -> tuple[Need, ...]:
     """What hollow nodes showed; nothing where they were not run."""
     if not any(name in runs.runs for name in PEERS):
@@ -219,6 +278,7 @@
     usual = runs.law(runs.first(POLICY), "decision", "tenants", "median")
     mean = runs.law(runs.first(POLICY), "decision", "tenants", "mean")
     line, size = changed_line(runs), line_bytes(runs)
+    parts = runs.law(runs.first(POLICY), "company", "tenants", "median")
     whole = runs.law(runs.first(POLICY), "whole list", "servers", "first", nodes_a_server=A_SERVER)
     kept = runs.law(runs.first(POLICY), "memory", "servers")
     kept_tenants = runs.law(runs.first(POLICY), "memory", "tenants")
@@ -291,6 +351,7 @@
                      limit(MOST_LIST, "bytes", "badgercart.membership.texts.MOST"), TOLD, (size,)),
                 Need("limit", "entries, where etcd tells them", "entries", lambda t: t.servers,
                      limit(MAX_ENTRIES, "entries", "badgercart.membership.etcd.follower.MAX_ENTRIES"), TOLD),
+                *list_needs(runs),
             ),
             (TOLD,),
         ),
@@ -302,6 +363,7 @@
                 Need("time", "a change is in force everywhere", "s", nothing, BUDGETS["in force"], TOLD),
                 Need("limit", "tenants that a reload takes", "tenants", lambda t: t.tenants,
                      limit(MAX_TENANTS, "tenants", "badgercart.retune.checks.MAX_TENANTS"), TOLD),
+                *config_needs(runs),
             ),
             (TOLD,),
         ),
@@ -329,6 +391,8 @@
                      limit(1, "s", "cottonhall.rules.Policy.on_request: a bucket 1 s deep"), SHARES),
                 Need("time", "between two reports of use", "s", lambda t: reports_every(t.nodes),
                      BUDGETS["report"], SHARES, note="worked out by `Member.every`"),
+                Need("time", "a node's parts of all tenants hold the loop as they change", "ms",
+                     lambda t: parts(t.tenants) / 1000, BUDGETS["standstill"], SHARES, (parts,), plain=True),
                 *use_needs(runs),
             ),
             (SHARES, TOLD),
--- a/benchmarks/capacity/storms.py
+++ b/benchmarks/capacity/storms.py
@@ -13,7 +13,7 @@
 from badgercart.membership.catalog import RETRY_FIRST, Pace
 from badgercart.zones.plan import Limits
 from benchmarks.capacity.laws import Law, Runs
-from benchmarks.capacity.rows import Tag, changed_line, line_bytes, subset
+from benchmarks.capacity.rows import Tag, changed_line, line_bytes, reload, subset
 from benchmarks.capacity.target import ASSUMED, BUDGETS, TARGET, Budget
 
 A_CHANGE = "bytes of a change of configuration"
@@ -209,8 +209,9 @@
     ]  # fmt: skip
 
 
-def changes(runs: Runs, reload: Law, file: Law) -> Storm:
+def changes(runs: Runs) -> Storm:
     """500 changes of configuration in a minute."""
+    steps, file = reload(runs, "tenants"), runs.law("configuration", "platform's file", "tenants")
     rate = 500 / 60
     part = assumed("served") / TARGET.services
     a_change = assumed(A_CHANGE)
@@ -218,7 +219,8 @@
         "500 changes of configuration in a minute",
         (
             Figure("a node's processor: today the whole file each time", "of a core",
-                   rate * reload(TARGET.tenants) / 1e6, None, BUDGETS["core"], (), (reload,)),
+                   rate * sum(step(TARGET.tenants) for step in steps) / 1e6, None, BUDGETS["core"], (),
+                   steps),
             Figure("bytes to a node: today the whole file each time", "B/s", rate * file(TARGET.tenants),
                    rate * a_change, BUDGETS["bytes"], (A_CHANGE,), (file,)),
             Figure("the same, told for what it serves alone", "B/s", None, rate * a_change * part,
@@ -300,10 +302,6 @@
         *region_back(runs),
         *release(runs),
         cold(),
-        *(changes(runs, *reloads(runs)) for _ in ["configuration"] if "configuration" in runs.runs),
+        *(changes(runs) for _ in ["configuration"] if "configuration" in runs.runs),
         calls(runs),
     ]  # fmt: skip
-
-
-def reloads(runs: Runs) -> tuple[Law, Law]:
-    raise NotImplementedError
--- a/tests/benchmarks/test_capacity.py
+++ b/tests/benchmarks/test_capacity.py
@@ -288,3 +288,15 @@
     last = found["a change is in force at the last node"]
     assert last.at_target == pytest.approx(0.86) and last.share == pytest.approx(4 / 0.86, rel=1e-6)
     assert "distribution" not in page.not_run(Runs(kept))
+
+
+def test_the_mend_shows_where_both_runs_are() -> None:
+    """The same run under the name of the later one: nothing got better, and that is said."""
+    kept = Runs.kept().runs
+    assert "policy-before" in kept
+    table = page.mended_table(Runs(kept | {"policy": kept["policy-before"]}))
+    for row in table.splitlines()[2:]:
+        before, after, _, broke, breaks = row.split("|")[2:7]
+        assert before.strip() == after.strip() and broke.strip() == breaks.strip()
+    without = {name: run for name, run in kept.items() if name != "policy"}
+    assert page.mended_table(Runs(without)).startswith("Not run anew yet")
