Tell a follower nothing twice and end its wait with the last message

A topic told to its end stayed to be told until the next call, so that a beat between the two was left out (test_a_beat_between_two_bursts..., seen to fail before).

--- a/badgercart/distribution/telling.py
+++ b/badgercart/distribution/telling.py
@@ -226,28 +226,27 @@
 
     def next(self, follower: Follower) -> Whole | Delta | None:
         """The next message to a follower; None: it has all."""
-        while follower.todo:
-            name = next(iter(follower.todo))
-            if follower.whole:
-                part = follower.whole.popleft()
-                if not follower.whole:
-                    follower.told[name] = part.number
-                return part
-            topic, told = self.topics[name], follower.told[name]
-            if told == topic.number:
+        if not follower.todo:
+            return None
+        name = next(iter(follower.todo))
+        topic, told = self.topics[name], follower.told[name]
+        past = self.deltas.get(name)
+        message: Whole | Delta
+        if not follower.whole and past and past[0].number <= told + 1:
+            message = past[told + 1 - past[0].number]
+        else:
+            if not follower.whole:
+                parts = list(topic.parts())
+                follower.whole.extend(
+                    Whole(name, topic.number, topic.digest, at, len(parts), part)
+                    for at, part in enumerate(parts, 1)
+                )
+            message = follower.whole.popleft()
+        if not follower.whole:
+            follower.told[name] = message.number
+            if message.number == topic.number:
                 del follower.todo[name]
-                continue
-            past = self.deltas.get(name)
-            if told >= 0 and past and past[0].number <= told + 1:
-                delta = past[told + 1 - past[0].number]
-                follower.told[name] = delta.number
-                return delta
-            parts = list(topic.parts())
-            follower.whole.extend(
-                Whole(name, topic.number, topic.digest, at, len(parts), part)
-                for at, part in enumerate(parts, 1)
-            )
-        return None
+        return message
 
     def beats(self, now: float, known: float) -> list[Effect]:
         """To each follower how old what it was told is; `known`: when we had all that was in force."""
--- a/tests/distribution/test_group.py
+++ b/tests/distribution/test_group.py
@@ -238,3 +238,44 @@
 def test_stores_and_voters_have_to_fit() -> None:
     with pytest.raises(ValueError, match="among the stores"):
         Store("x", ("a",), ("a",), Timing(), random.Random(1), Recovered())
+
+
+def test_a_learner_is_given_no_vote_gives_none_and_its_word_does_not_count() -> None:
+    names = ("a", "b", "c", "d", "e")
+
+    def store(name: str, other: str) -> Store:
+        made = Store(name, names[:3], names, Timing(), random.Random(1), Recovered())
+        made.start(0.0)
+        made.accepted(0.0, 1)
+        made.received(0.0, 1, Hello(other, True))
+        return made
+
+    for name, other in (("a", "d"), ("d", "a")):
+        for only in (True, False):
+            machine = store(name, other)
+            effects = machine.received(5000.0, 1, VoteRequest(1, 5, 5, only))
+            assert effects == [Send(1, Vote(0, False, only))] and machine.term == 0
+    machine = store("a", "d")
+    assert not [e for e in machine.tick(5000.0) if isinstance(e, Send)], "a learner is not asked"
+    machine.received(5000.0, 1, Vote(1, True, True))
+    assert machine.term == 0 and machine.votes == {"a"}
+    machine = store("d", "a")
+    machine.tick(50_000.0)
+    assert machine.term == 0 and machine.role == "following"
+
+
+def test_one_that_leads_again_begins_its_lease_anew() -> None:
+    group, leader = led()
+    others = [name for name in group.names if name != leader]
+    for name in others:
+        group.pause(name)
+    assert group.run(5000.0, lambda: not group.store(leader).leading)
+    group.ticking = {leader}
+    group.run(5000.0)
+    for name in others:
+        group.wake(name)
+    term = group.store(leader).term
+    assert group.run(10_000.0, lambda: group.store(leader).leading)
+    again = group.store(leader).term
+    group.run(5000.0)
+    assert group.store(leader).leading and group.store(leader).term == again > term
--- a/tests/distribution/test_journal.py
+++ b/tests/distribution/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import random
 from collections.abc import Iterator
@@ -16,7 +17,9 @@
 from badgercart.distribution.messages import Change, Entry, Hello, Propose, Proposed
 from badgercart.distribution.store import Store, Timing
 from badgercart.distribution.topic import Topic
+from tests.distribution.broken import draw
 from tests.distribution.orders import change
+from tests.distribution.test_properties import SMALL, play
 
 KEPT = (
     Keep(1, "", 0, (), 0),
@@ -344,3 +347,26 @@
             most = max(most, sum(path.stat().st_size for path in tmp_path.iterdir()))
         journal.close()
     assert answered == 1000 and most < 20_000
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_group_keeps_its_promises_on_real_disks(tmp_path: Path, seed: int) -> None:
+    folders = itertools.count()
+
+    class Reopened:
+        """A process's journal: each start opens the folder anew."""
+
+        def __init__(self) -> None:
+            self.folder = tmp_path / str(next(folders))
+            self.journal: Journal | None = None
+
+        def recover(self) -> Recovered:
+            if self.journal is not None:
+                self.journal.close()
+            self.journal = Journal(self.folder, floor=500)
+            return self.journal.recover()
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self.journal, name)
+
+    play(3, 0, SMALL, seed, draw(seed), disk_class=Reopened)  # type: ignore[arg-type]
--- a/tests/distribution/test_telling.py
+++ b/tests/distribution/test_telling.py
@@ -27,6 +27,7 @@
     State,
     Subscribe,
     Vote,
+    VoteRequest,
     Whole,
 )
 from badgercart.distribution.store import Store, Timing
@@ -190,11 +191,12 @@
 
 
 def test_topics_of_a_follower_and_of_all_are_bounded() -> None:
-    store = single(Bounds(subscriptions=5))
+    store = single()
     greet(store, 1)
     many = tuple((f"t{n}", 0, 0) for n in range(MAX_TOPICS + 1))
     effects = store.received(1.0, 1, Subscribe(many))
     assert closes(effects) == [(1, "too-many")]
+    store = single(Bounds(subscriptions=5))
     ask(store, 2, *((f"t{n}", 0, 0) for n in range(4)))
     greet(store, 3)
     assert closes(store.received(1.0, 3, Subscribe(tuple((f"t{n}", 0, 0) for n in range(2))))) == [
@@ -333,6 +335,21 @@
     assert said(store.tick(3000.0), 1) == [Beat(0.0)]
 
 
+def test_a_beat_between_two_bursts_is_as_old_as_when_all_was_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(telling, "BURST", 1)
+    store = single(topics="tu")
+    ask(store, 1, ("t", 0, 0), ("u", 0, 0))
+    said(store.tick(2.0), 1)
+    assert said(store.tick(1000.0), 1) == [Beat(0.0)]
+    store.stalled(1100.0, 1)
+    put(store, "t", ("k", b"2"))
+    put(store, "u", ("k", b"2"))
+    assert [m.topic for m in said(store.room(1900.0, 1), 1) if isinstance(m, Delta)] == ["t"]
+    beat, delta = said(store.tick(2000.0), 1)
+    assert beat == Beat(1000.0) and isinstance(delta, Delta) and delta.topic == "u"
+    assert said(store.tick(3000.0), 1) == [Beat(0.0)]
+
+
 # Room.
 
 
@@ -485,7 +502,7 @@
 
 def test_parts_out_of_order_a_new_term_and_a_closed_connection_drop_the_stage() -> None:
     one, two = states()
-    for between in ("part", "term", "close", "append"):
+    for between in ("part", "term", "vote", "close", "append"):
         store = alone(Recovered(1, "", 1, 0, 0, {}, (change(1, 1),)), Store)
         connection = 1
         store.received(1.0, 1, one)
@@ -494,6 +511,9 @@
             effects = store.received(1.0, 1, State(2, 9, 1, 3, 2, ()))
         elif between == "term":
             effects = store.received(1.0, 1, states(term=3)[1])
+        elif between == "vote":
+            store.received(1001.0, 1, VoteRequest(3, 9, 9, False))
+            effects = []
         elif between == "append":
             effects = store.received(1.0, 1, Append(2, 1, (), 1))
         else:
@@ -504,7 +524,7 @@
         assert store.stage is None
         if between != "append" and effects:
             assert isinstance(effects[-1], Send) and effects[-1].message.missing  # type: ignore[union-attr]
-        if between != "term":
+        if between not in ("term", "vote"):
             effects = store.received(2.0, connection, two)
             assert effects[-1] == Send(connection, Appended(2, 1, 1, True))
         assert store.committed == 1 and store.topics["t"].number == 1
@@ -602,3 +622,18 @@
     store = leading(Bounds())
     assert closes(store.received(3001.0, 2, Appended(6, 5000, 0, False))) == [(2, "stray")]
     store.received(3001.0, 3, Appended(6, 1000, 1000, False))
+
+
+def test_a_stalled_store_is_told_nothing_until_there_is_room() -> None:
+    store = leading(Bounds())
+    for connection in (2, 3):
+        store.received(3001.0, connection, Appended(6, 1001, 1000, False))
+    for connection in (2, 3):
+        store.received(3001.0, connection, Appended(6, 1001, 1001, False))
+    store.stalled(3002.0, 2)
+    greet(store, 0)
+    effects = put(store, "t0", ("k", b"new"))
+    assert not said(effects, 2) and said(effects, 3)
+    assert not said(store.tick(3200.0), 2)
+    (told,) = said(store.room(3201.0, 2), 2)
+    assert isinstance(told, Append) and [c.index for c in told.changes] == [1002]
