--- a/badgercart/distribution/commands.py
+++ b/badgercart/distribution/commands.py
@@ -309,7 +309,8 @@
 
 @distribution.command()
 @FILE
-def store(file: str) -> None:
+@click.option("--check", "only_check", is_flag=True, help="Say whether the file is good, and end.")
+def store(file: str, only_check: bool) -> None:
     """Run the store of FILE.toml and nothing else: [distribution], and [log] if wanted."""
     import uvloop
 
@@ -321,6 +322,9 @@
         raise CommandError(
             f"{file}: has more than [distribution] and [log]: an installation is run by `serve`", Exit.USAGE
         )
+    if only_check:
+        click.echo(f"{file}: good")
+        return
     sink = logs.open_sink(alone.distribution.name, alone.log)
     try:
         uvloop.run(run_store(alone.distribution, str(Path(file).parent)))
--- a/badgercart/distribution/driver.py
+++ b/badgercart/distribution/driver.py
@@ -253,6 +253,7 @@
         self.server: asyncio.Server | None = None
         self.dialling: dict[str, asyncio.Task[None]] = {}
         self.number = 0
+        self.closed = False
 
     async def start(self) -> None:
         """OSError where the address can't be had."""
@@ -265,7 +266,9 @@
         super().close()
         if self.server is not None:
             self.server.close()
-        self.disk.close()
+        if not self.closed:  # once: its descriptors may be another's by now
+            self.closed = True
+            self.disk.close()
 
     def act(self, effect: Effect) -> None:
         if isinstance(effect, Keep | KeepAll):
--- a/tests/lab/test_companions.py
+++ b/tests/lab/test_companions.py
@@ -47,7 +47,8 @@
 def test_the_platforms_node_imports_nothing_of_it() -> None:
     code = (
         "import sys, badgercart.__main__, badgercart.node; "
-        "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'netaddr') or 'peers' in m])"
+        "print([m for m in sys.modules if m.split('.')[0] in ('msgspec', 'netaddr') "
+        "or 'peers' in m or 'distribution' in m])"
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from badgercart.distribution.commands import store_file
 from badgercart.operator.file import FileError, load
 from badgercart.operator.locate import lines_of
 from cottonhall.interface import Effect, Group
@@ -64,7 +65,9 @@
 
 @pytest.mark.parametrize("path", sorted(ROOT.glob("deploy/*.toml")), ids=lambda path: path.name)
 def test_the_examples_are_good(path: Path) -> None:
-    if path.name != "balancer.toml":  # the platform's own form
+    if path.name == "distribution-store.toml":  # of a process that is a store alone
+        assert store_file(str(path)) is not None
+    elif path.name != "balancer.toml":  # the platform's own form
         load(str(path))
 
 
