--- a/badgercart/distribution/follower.py
+++ b/badgercart/distribution/follower.py
@@ -99,6 +99,7 @@
         self.turn = 0  # in that order
         self.topics: dict[str, Topic] = {topic: Topic() for topic in topics}  # in force
         self.sizes = dict.fromkeys(topics, 0)  # bytes of each
+        self.size = 0  # of all
         self.staged: dict[str, Staged] = {}
         self.staged_size = 0
         self.waits: set[str] = set()  # topics that an answer is owed for
@@ -139,6 +140,7 @@
         for topic, held in old.topics.items():
             if topic in self.topics:
                 self.topics[topic], self.sizes[topic] = held, old.sizes[topic]
+        self.size = sum(self.sizes.values())
         self.doubted = old.doubted & self.topics.keys()
         self.unknown = old.unknown & self.topics.keys()
         self.freshness = old.freshness
@@ -279,12 +281,11 @@
             self.doubted.add(topic)
             return self.resubscribe(now, topic, "digest", f"change {message.number} has a wrong digest")
         size = self.size_after(topic, message.entries)
-        if sum(self.sizes.values()) - self.sizes[topic] + size > self.most_bytes:
+        if self.size - self.sizes[topic] + size > self.most_bytes:
             raise Left("oversized", f"with change {message.number} of {topic}, over {self.most_bytes} bytes")
         self.drop(topic)
         held.change(message.entries)
-        self.sizes[topic] = size
-        self.in_force(now, topic)
+        self.in_force(now, topic, size)
         return [Take(topic, message.number, False, message.entries)]
 
     def whole(self, now: float, message: Whole) -> list[Effect]:
@@ -319,13 +320,13 @@
         if fresh.digest != staged.digest:
             self.doubted.add(topic)
             return self.resubscribe(now, topic, "digest", f"the whole of {staged.number} has a wrong digest")
-        if sum(self.sizes.values()) - self.sizes[topic] + staged.size > self.most_bytes:
+        if self.size - self.sizes[topic] + staged.size > self.most_bytes:
             raise Left("oversized", f"with {topic} whole, over {self.most_bytes} bytes")
         if fresh.number == held.number and fresh.digest != held.digest and topic not in self.doubted:
             self.faults["other"] += 1  # another history: what more than half of the stores keep counts
-        self.topics[topic], self.sizes[topic] = fresh, staged.size
+        self.topics[topic] = fresh
         self.doubted.discard(topic)
-        self.in_force(now, topic)
+        self.in_force(now, topic, staged.size)
         return [Take(topic, fresh.number, True, tuple(staged.entries))]
 
     def beat(self, now: float, message: Beat) -> list[Effect]:
@@ -368,7 +369,9 @@
         happened = Happened("gap", {"topic": topic, "kind": kind, "error": words})
         return [happened, Send(self.connection, self.subscription())]
 
-    def in_force(self, now: float, topic: str) -> None:
+    def in_force(self, now: float, topic: str, size: int) -> None:
+        self.size += size - self.sizes[topic]
+        self.sizes[topic] = size
         self.waits.discard(topic)
         self.unknown.discard(topic)
         self.progress = now
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -569,7 +569,10 @@
     rig.tell(*wholes(A, state, 10))
     for _ in range(50):  # what takes an old value's place takes its room
         rig.tell(next_delta(A, state, k0="w" * 1000, k1=None), next_delta(A, state, k1="v" * 1000))
-    assert rig.follower.sizes[A] == module.size_of(Entry(k, v) for k, v in state.entries.items())
+    assert rig.follower.size == module.size_of(Entry(k, v) for k, v in state.entries.items())
+    fresh = Follower("n", (A, B), 1, TIMING, random.Random(1))
+    fresh.succeed(rig.follower)
+    assert fresh.size == rig.follower.size and fresh.topics[A] is rig.follower.topics[A]
 
 
 def test_a_store_that_leaves_gap_upon_gap_is_left() -> None:
