--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -115,6 +115,8 @@
     key_rest: float = 0.0  # in order: how long a key rests after an attempt that may be running still
     cold_from: float = 1.0  # a server starts with this share of its capacity or more
     ramp_time: float = 0.0
+    tip_multiple: float = 1.0  # sent more than this multiple of its capacity by all nodes together
+    overload_for: float = 1000.0  # within any such time, a cold server falls over
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", self.classes)
@@ -123,6 +125,8 @@
         _need(0 < self.cold_from <= 1, "cold_from", self.cold_from)
         _need(0 <= self.over_quota_worth <= 1, "over_quota_worth", self.over_quota_worth)
         _need(self.tick > 0, "tick", self.tick)
+        _need(self.tip_multiple > 0, "tip_multiple", self.tip_multiple)
+        _need(self.overload_for > 0, "overload_for", self.overload_for)
         for name in (
             "ask_within",
             "ramp_time",
--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -139,6 +139,8 @@
         key_rest=float(rules.get("KeyRest", 0.0)),
         cold_from=float(rules["ColdFrom"]),
         ramp_time=float(rules["RampTime"]),
+        tip_multiple=float(rules.get("TipMultiple", 1.0)),
+        overload_for=float(rules.get("OverloadFor", 1000.0)),
     )
 
 
