Send cold servers what the settings allow all nodes together, in whole requests

`cold_token`'s rate went by this node's own `carried`, a whole token waited while no more came, and nodes went on to cold servers of other stretches with the rate of their own.

N is now worked out from what is known: `tip_multiple` and the share by age (settings), slots (the list's size; 1 where it gives none), and the mean work, which is learned: the time of answers by kind of machine, times the share of the cold ones. 0.8 of N is for all nodes, an even part of it for each that may live, a stretch's servers for the nodes of that stretch. Tokens begin at a random phase and go down to -1, so that a part of under one is met in the mean; what waits for a draw is a quarter of a window's part, at least one. Cold servers count as weaker by their age, and a new one as used as its peers, or it would draw more than they do.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -51,7 +51,8 @@
 POINTS_AT_ONCE = 2048  # points that are placed on the ring with a list; of more, SLICE go with each event
 SLICE = 256
 HEARSAY = 0.3  # what others find failing counts for no more: less than one rests at
-COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
+BUDGET = 0.8  # of what makes a cold server fall, what all nodes send: sizes are rough, and its keys are cold
+KEPT = 0.25  # of a node's part in the time in which a server falls, what may wait for draws; one at least
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
 
@@ -146,10 +147,11 @@
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
-        self.carried = 0.0  # timely answers a ms and warm server, at best
+        self.carried = 0.0  # timely answers a ms and server, at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
+        self.works: dict[int, float] = {}  # the time that a warm one takes for an answer, by kind of machine
         self.warm = self.slots = self.strongest = self.mean_strength = 1.0
         self.ask_backoff = settings.ask_within / 40
         self.turns: dict[int, Turn] = {}  # by key
@@ -160,7 +162,6 @@
         self.inside: dict[int, set[int]] = {}  # the same, to look one up
         self.zones_old = True  # whether they have to be sorted anew
         self.focus: dict[int, float] = {}  # how much of what we send goes to a zone, over its even part
-        self.warm_focus: dict[int, float] = {}  # the same as if all its servers were warm
         self.spilt: dict[int, tuple[float, float]] = {}  # attempts that may spill into a zone, as of when
         every = frozenset(range(len(settings.classes)))
         self.settle_terms(Retuned(settings, every, every))
@@ -375,7 +376,8 @@
         self.age = min(self.age + passed, RATE_TIME * self.pace)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
         self.best_rate = max(self.best_rate * (1 - passed / (BEST_TIME * self.pace)), self.rate)
-        self.carried = max(self.carried * (1 - passed / (BEST_TIME * self.pace)), self.rate / self.warm)
+        carried = self.rate / max(len(self.ready), 1)  # whatever rests: it must not be overrated
+        self.carried = max(self.carried * (1 - passed / (BEST_TIME * self.pace)), carried)
         self.met = 0
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
@@ -563,7 +565,8 @@
             fit = self.usable(server, health) and self.allowed(job, server) and server_id not in job.used
             if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
                 continue
-            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
+            able = max(self.strength(server) * self.cold_share(server), 1e-6)
+            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / able
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen <= most and load < least):
@@ -620,22 +623,23 @@
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
 
     def cold_token(self, server: Server) -> bool:
-        # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
-        # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
-        # A fleet that begins cold has no warm peers to tell that: there listed sizes do, and what is answered
-        # makes room for the next.
-        begins = len(self.cold) > 0.9 * len(self.ready)
-        size = server.entry.size if begins and 0.5 <= server.entry.size <= 8 else 1.0
-        if begins and (len(server.open) + 1) * self.group.may_live <= size:
-            return True
-        one = size / self.group.may_live / max(self.usual)
-        share = self.cold_share(server) * (1.0 if begins else COLD_SHARE)
-        rate = share * max(self.carried, one) * len(self.ready) / self.span
-        if self.plan is not None:  # a warm peer of its zone has so much more or less than an even part
-            rate *= self.warm_focus.get(server.entry.zone, 0.0)
-        server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
+        """Whether a cold server may get an attempt now.
+
+        All nodes together keep to BUDGET of what the settings allow it, each to an even part of that: less
+        than one attempt mostly. What has come together undrawn is kept a while: draws of one are rare."""
+        entry, settings, nodes = server.entry, self.settings, self.group.may_live
+        size = entry.size if 0.5 <= entry.size <= 8 else 1.0  # 1 serves one at once
+        # Known from settings and list but for the work: that is learned of warm servers of its kind.
+        warm = max(size / (self.works.get(entry.kind) or max(self.usual)), self.carried)
+        rate = BUDGET * settings.tip_multiple * self.cold_share(server) * warm / nodes
+        if not self.in_stretch(entry.id):
+            rate = 0.0  # it is left to those in whose stretch it is, who share its budget
+        earned = rate * len(self.ready) / self.span * (self.now - server.tokens_at)
+        server.tokens = min(server.tokens + earned, max(1.0, KEPT * rate * settings.overload_for))
         server.tokens_at = self.now
-        return server.tokens >= 1.0
+        # A fleet that begins cold has no warm peers to serve meanwhile: one on credit, if all have a slot.
+        begins = len(self.cold) > 0.9 * len(self.ready) and (len(server.open) + 1) * nodes <= size
+        return server.tokens >= (-1.0 if begins else 0.0)
 
     def allowed(self, job: Job, server: Server, until: float = 0.0) -> bool:
         """Whether the class lets the request go to this server, given where it may have run already."""
@@ -740,13 +744,16 @@
         self.failed += weight * bad - self.failed / REACH
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
+            kind = server.entry.kind
+            work = self.works.get(kind) or max(self.usual)
+            self.works[kind] = work + 0.1 * (outcome.elapsed * self.cold_share(server) - work)
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
         if not bad or result == Result.TIMEOUT:
             # How slow against its class, then its kind: few samples of one server, many of its kind.
             ratio = min(outcome.elapsed / self.usual[cls], 8.0)
-            kind = self.kinds.get(server.entry.kind, 1.0)
-            self.kinds[server.entry.kind] = kind + 0.005 * (ratio - kind)
-            server.slow += 0.4 * (ratio / kind - server.slow)
+            pace = self.kinds.get(server.entry.kind, 1.0)
+            self.kinds[server.entry.kind] = pace + 0.005 * (ratio - pace)
+            server.slow += 0.4 * (ratio / pace - server.slow)
         wanted = job.terms
         if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
             self.met += 1
@@ -920,17 +927,10 @@
     def weigh_zones(self, plan: Planned) -> None:
         """How much more or less than an even part of what we send goes to each zone."""
         own, total = plan.shares[: len(self.settings.classes)], sum(map(len, self.zones.values()))
-        coldness: dict[int, float] = {}
-        for server_id in self.cold:
-            server = self.servers[server_id]
-            less = 1 - self.cold_share(server)
-            coldness[server.entry.zone] = coldness.get(server.entry.zone, 0.0) + less
         for zone, there in self.zones.items():
             count = max(1, len(there))
             part = sum(row[zone] for row in own if zone < len(row)) / len(own)
-            warmth = max(1 - coldness.get(zone, 0.0) / count, 1e-3)
             self.focus[zone] = part * total / count
-            self.warm_focus[zone] = min(part / warmth, 1.0) * total / count  # its part is less as it is cold
 
     def measure_warmth(self) -> None:
         self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
@@ -994,7 +994,9 @@
             return
         if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
             health = [Health() for _ in self.usual]
-            self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
+            self.servers[entry.id] = Server(entry, -self.random.random(), self.now, health)
+            if self.ready:  # as much as its peers': else it would draw more than they do
+                self.servers[entry.id].recent = self.total_recent / len(self.ready)
             if old is not None:
                 self.servers[entry.id].open, self.servers[entry.id].uploads = old.open, old.uploads
             if (known := self.known.pop(entry.id, None)) is not None and old is None:
--- a/tests/policy/test_wire.py
+++ b/tests/policy/test_wire.py
@@ -149,6 +149,7 @@
     assert event.settings.quotas == (5.0,)
     assert event.settings.classes[0].in_order
     assert (event.settings.full_may_have_run, event.settings.key_rest) == (True, 40.0)
+    assert (event.settings.tip_multiple, event.settings.overload_for) == (2.5, 2.0)
 
 
 @pytest.mark.parametrize(
