--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -317,8 +317,7 @@
 
     def upkeep(self) -> None:
         passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
-        self.upkeep_at = self.now
-        self.leaked += passed
+        self.upkeep_at, self.leaked = self.now, self.leaked + passed
         if self.now - self.halved_at >= SHARE_HALF:
             self.halved_at = self.now
             self.offered = [x / 2 for x in self.offered]
