--- a/tests/distribution/group.py
+++ b/tests/distribution/group.py
@@ -28,7 +28,7 @@
     Subscribe,
     Whole,
 )
-from badgercart.distribution.store import Role, Store, Timing
+from badgercart.distribution.store import Store, Timing
 from badgercart.distribution.telling import Bounds
 from badgercart.distribution.topic import Topic
 
@@ -78,6 +78,7 @@
     number: int
     other: End | None = None
     open: bool = True
+    accepted: bool = True  # by its owner: nothing is read before
     queue: deque[tuple[float, Message | None]] = field(
         default_factory=deque
     )  # that comes; None: it is closed
@@ -106,23 +107,34 @@
         self.disk: Disk = group.disk_class()
         self.crash_in = -1  # effects that are carried out before it crashes; -1: it doesn't
         self.happened: list[Happened] = []
-        self.checked = 0
+        self.checked = 0  # the place up to which what is in force here was held against others'
+        self.fresh: list[Change] = []  # that came to be in force since
         self.dialled: set[str] = set()
         self.boot()
 
     def boot(self) -> None:
         group = self.group
         self.alive, self.ends, self.dialled = True, {}, set()
+        recovered = self.disk.recover()
+        self.fresh = list(recovered.changes[: recovered.committed - recovered.index])
         self.store = group.store_class(
             self.name,
             group.voters,
             group.names,
             group.timing,
             random.Random(group.rng.random()),
-            self.disk.recover(),
+            recovered,
             bounds=group.bounds,
         )
-        self.checked = self.store.base
+        self.checked = recovered.index
+        commit = self.store.commit
+
+        def watched(index: int) -> None:
+            base = self.store.base
+            self.fresh += self.store.log[self.store.committed - base : max(index - base, 0)]
+            commit(index)
+
+        self.store.commit = watched  # type: ignore[method-assign]
         self.do(self.store.start(group.now))
 
     def do(self, effects: list[Effect]) -> None:
@@ -291,6 +303,7 @@
         self.voters = self.names[:count]
         self.events: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
         self.order = itertools.count()
+        self.said_at = 0.0  # when the message that is being received was sent
         self.numbers = itertools.count(1)
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self.swallow: Callable[[str, str, Message], bool] = lambda source, to, message: False
@@ -370,7 +383,7 @@
 
     def connect(self, source: Process, to: Process) -> End:
         a, b = End(source, next(self.numbers)), End(to, next(self.numbers))
-        a.other, b.other = b, a
+        a.other, b.other, b.accepted = b, a, False
         source.ends[a.number] = a
         to.ends[b.number] = b
         self.at(0.0, self.arrive, b)
@@ -382,6 +395,7 @@
             if end.owner.paused:
                 self.at(50.0, self.arrive, end)
             else:
+                end.accepted = True
                 end.owner.accepted(end)
                 self.deliver(end)
 
@@ -393,7 +407,7 @@
         if self.swallow(end.owner.name, other.owner.name, message):
             return
         when = max(self.now + self.delay(), other.queue[-1][0] if other.queue else 0.0)
-        other.queue.append((when, message))
+        other.queue.append((when, self.now, message))
         self.at(when - self.now, self.deliver, other)
 
     def deliver(self, end: End) -> None:
@@ -403,9 +417,9 @@
             owner = end.owner
             if not owner.alive:
                 return
-            if owner.paused or (end.other.owner.name, owner.name) in self.cuts:
+            if owner.paused or not end.accepted or (end.other.owner.name, owner.name) in self.cuts:
                 return  # waking and healing deliver
-            _, message = end.queue.popleft()
+            _, self.said_at, message = end.queue.popleft()
             if message is None:
                 end.open = False
                 owner.ends.pop(end.number, None)
@@ -421,7 +435,7 @@
         assert other is not None
         if other.open:
             when = max(self.now + self.delay(), other.queue[-1][0] if other.queue else 0.0)
-            other.queue.append((when, None))
+            other.queue.append((when, self.now, None))
             self.at(when - self.now, self.deliver, other)
 
     def everything(self) -> None:
@@ -491,24 +505,20 @@
 
     def check(self, process: StoreProcess) -> None:
         store = process.store
-        if store.role is Role.LEADING:
+        if store.leading:
             assert (
                 self.leaders.setdefault(store.term, store.name) == store.name
             ), f"{self.leaders[store.term]} and {store.name} both lead term {store.term}"
         assert process.checked <= store.committed, f"{store.name} took back what was in force"
-        if process.checked < store.base:
-            process.checked = store.base  # told whole: its topics are checked below
-        for index in range(process.checked + 1, store.committed + 1):
-            change = store.log[index - store.base - 1]
-            assert change.index == index
-            had = self.truth.setdefault(index, change)
-            assert had == change, f"place {index} is in force as {had} and, at {store.name}, as {change}"
-            if index > self.known_at[-1][1]:
-                self.known_at.append((self.now, index))
-        whole = process.checked < store.committed or store.committed == store.base
+        changed = process.checked < store.committed
         process.checked = store.committed
-        if whole:
-            self.replay()
+        fresh, process.fresh = process.fresh, []
+        for change in fresh:
+            had = self.truth.setdefault(change.index, change)
+            assert had == change, f"{had} is in force and, at {store.name}, {change}"
+            if change.index > self.known_at[-1][1]:
+                self.known_at.append((self.now, change.index))
+        if changed:
             for name, topic in store.topics.items():
                 self.check_topic(store.name, name, topic)
 
@@ -525,7 +535,9 @@
         """What somebody has of a topic is what was in force as of that number."""
         self.replay()
         if topic.number:
-            assert self.digests[name][topic.number] == topic.digest, f"{who} has {name!r} otherwise"
+            assert (
+                self.digests.get(name, {}).get(topic.number) == topic.digest
+            ), f"{who} has {name!r} otherwise"
 
     def check_answer(self, asked: Propose, answer: Proposed) -> None:
         """What was answered as in force is so, as of this number."""
@@ -540,8 +552,8 @@
         assert not any(value is not None for value in wanted.values()), f"{answer}: {wanted} are not there"
 
     def check_beat(self, follower: Hollow, beat: Beat) -> None:
-        """All that was in force `age` ms before, anywhere, is told; but what the store knew it lacked."""
-        before = self.now - beat.age
+        """All that was in force anywhere `age` ms before it was said is told."""
+        before = self.said_at - beat.age
         index = max((i for when, i in self.known_at if when < before), default=0)
         numbers: dict[str, int] = {}
         for place in range(1, index + 1):
