--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -1,4 +1,4 @@
-"""What control sends and keeps beside the policy and peers: the zones' council, what was learned, connections.
+"""What control sends and keeps beside policy and peers: the zones' council, what was learned, connections.
 
 Bytes are those of the real codecs. The council's and the evidence's times are of their machines alone; a
 connection's memory is that of a `serve` process with so many idle clients, less that with none.
