--- a/badgercart/distribution/telling.py
+++ b/badgercart/distribution/telling.py
@@ -34,7 +34,7 @@
     waiting_bytes: int = 16 << 20
     stages: int = 2  # stores that are told all topics at one time
     parts: int = 4096  # in which a store takes all topics
-    guests: int = 64  # connections that are neither stores' nor subscribed
+    guests: int = 256  # connections that are neither stores' nor subscribed
 
 
 def size(entries: Iterable[Entry]) -> int:
