Build no more than a burst for a follower when many changes come into force at once

A store that is told that its whole tail is in force built all of it for each connection in one call, 16 MiB at the most. Seen to fail before: 20 changes of 200 bytes under a burst of 1,000, all in one call; now 5 a call.

--- a/badgercart/distribution/store.py
+++ b/badgercart/distribution/store.py
@@ -311,6 +311,7 @@
 
     def done(self) -> list[Effect]:
         effects, self.effects = self.effects, []
+        self.teller.call_over()
         return effects
 
     # Connections.
--- a/badgercart/distribution/telling.py
+++ b/badgercart/distribution/telling.py
@@ -68,8 +68,13 @@
         self.deltas: dict[str, deque[Delta]] = {}
         self.order: OrderedDict[tuple[str, int], int] = OrderedDict()  # of all deltas: their bytes
         self.history_bytes = 0
+        self.spent: dict[int, int] = {}  # bytes built in this call, by connection; see `call_over`
         self.touched = 0  # followers that were looked at for changes, since the start
 
+    def call_over(self) -> None:
+        """What was built is the driver's now."""
+        self.spent.clear()
+
     # Changes.
 
     def apply(self, now: float, change: Change) -> list[Effect]:
@@ -80,14 +85,20 @@
         topic.change(change.entries)
         self.entries += len(topic.entries) - before
         delta = Delta(change.topic, topic.number, topic.digest, change.entries)
-        self.remember(delta)
+        takes = size(change.entries)
+        self.remember(delta, takes)
         effects: list[Effect] = []
         for connection in self.index.get(change.topic, ()):
             self.touched += 1
             follower = self.followers[connection]
             if topic.number <= follower.told[change.topic]:
                 self.caught_up(follower, change.topic, topic)
-            elif follower.stalled or follower.todo or follower.told[change.topic] != topic.number - 1:
+            elif (
+                follower.stalled
+                or follower.todo
+                or follower.told[change.topic] != topic.number - 1
+                or not self.spend(connection, takes)
+            ):
                 self.want(follower, change.topic)
             else:
                 follower.told[change.topic] = topic.number
@@ -100,10 +111,17 @@
             follower.told[name] = -1
             self.want(follower, name)
 
-    def remember(self, delta: Delta) -> None:
+    def spend(self, connection: int, takes: int) -> bool:
+        """Whether something may still be built for a connection in this call; if so, it is."""
+        spent = self.spent.get(connection, 0)
+        if spent >= BURST:
+            return False
+        self.spent[connection] = spent + takes + EACH
+        return True
+
+    def remember(self, delta: Delta, takes: int) -> None:
         past = self.deltas.setdefault(delta.topic, deque())
         past.append(delta)
-        takes = size(delta.entries)
         self.order[delta.topic, delta.number] = takes
         self.history_bytes += takes
         if len(past) > self.bounds.history_each:
@@ -212,10 +230,10 @@
     def pump(self, now: float, follower: Follower) -> list[Effect]:
         """Up to BURST bytes of what a follower is to be told."""
         effects: list[Effect] = []
-        built = 0
-        while built < BURST and (message := self.next(follower)) is not None:
-            effects.append(Send(follower.connection, message))
-            built += size(message.entries) + EACH
+        connection = follower.connection
+        while self.spent.get(connection, 0) < BURST and (message := self.next(follower)) is not None:
+            effects.append(Send(connection, message))
+            self.spend(connection, size(message.entries))
         if follower.todo and not follower.stalled:
             self.busy[follower.connection] = None
         else:
--- a/tests/distribution/test_telling.py
+++ b/tests/distribution/test_telling.py
@@ -16,6 +16,7 @@
     Append,
     Appended,
     Beat,
+    Change,
     Codec,
     Delta,
     Entry,
@@ -395,6 +396,23 @@
     assert numbers == {name: store.number(name) for name in names} and len(got) == 51
 
 
+def test_many_changes_in_force_at_once_are_no_more_than_a_burst_either(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(telling, "BURST", 1000)
+    store = alone(Recovered(), Store)
+    greet(store, 5)
+    store.received(0.0, 5, Subscribe((("t", 0, 0),)))
+    log = tuple(Change(1, index, "t", (Entry("k", b"%0200d" % index),)) for index in range(1, 21))
+    got = said(store.received(1.0, 1, Append(1, 0, log, 20)), 5)
+    assert store.committed == 20 and len(got) == 5 and store.due == store.now
+    while store.due <= store.now:
+        more = said(store.tick(2.0), 5)
+        assert 0 < len(more) <= 5
+        got += more
+    assert [m.number for m in got if isinstance(m, Delta)] == list(range(1, 21))
+
+
 def test_a_topic_of_many_parts_is_told_whole_though_it_changes_and_stalls_between(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
