Account for descriptors by role, so that idle clients leave the rest theirs

Idle clients may fill the descriptors while discovery is down; the list's next call, the console, the file of a reload and the servers' connections must have theirs. Seen: a process at rest holds 20, a console has 12 callers, and 32 were kept back for all of it; where the system lets a process hold less than limits.sockets says (96 of 1024 in the test) clients were let in by the larger figure, and no answer came. The pool dialled while the connection that made room was still open, and the loop's own server at the console accepted before it turned one away (14 held, 12 meant).

The limit is the lower of what is told and RLIMIT_NOFILE. ServerPool.connect waits until what made room is closed; the console accepts by itself. The floor of 30 (beside another process: 8), which could pass the limit, is gone, or bounded by the room.

--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -427,7 +427,9 @@
     async def connect(self, attempt: Attempt) -> None:
         """Open a connection for an attempt; no byte has been sent where this fails."""
         server = attempt.server
-        if len(self.connections) + self.dials >= self.max_connections and not self.close_an_idle_one():
+        while self.open >= self.max_connections and self.close_an_idle_one():
+            await asyncio.sleep(0)  # it holds its descriptor until then
+        if self.open >= self.max_connections:
             NO_DESCRIPTORS(server=server.endpoint, request=attempt.request_id)
             self.end(attempt, Result.UNREACHABLE)
             return
@@ -452,6 +454,11 @@
             self.connections.add(connection)
         self.put_on(attempt, connection)
 
+    @property
+    def open(self) -> int:
+        """Connections that hold a descriptor."""
+        return len(self.connections) + self.dials
+
     def retune(self, dial_timeout: float, idle_timeout: float) -> None:
         self.dial_timeout = dial_timeout
         self.idle_limit.retell(idle_timeout)
@@ -459,7 +466,7 @@
     def keep_to(self, most: int) -> None:
         """Have another limit of connections; idle ones over it are closed."""
         self.max_connections = most
-        for _ in range(len(self.connections) + self.dials - most):
+        for _ in range(self.open - most):
             if not self.close_an_idle_one():
                 return
 
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from badgercart.core.descriptors import Descriptors, TooFewError
 from badgercart.retune.checks import faults, load
 from cottonhall.interface import Settings
 from cottonhall.wire import WireError, read_settings
@@ -69,6 +71,20 @@
     return int(text)
 
 
+def held_to(told: int) -> int:
+    """Descriptors that the process may hold: what it is told, or what the system lets it, if that is less."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return told if soft == resource.RLIM_INFINITY else min(told, soft)
+
+
+def descriptors(told: int, console: bool) -> int:
+    """The same, checked: ValueError where they are too few."""
+    try:
+        return Descriptors.of(held_to(told), console).limit
+    except TooFewError as error:
+        raise ValueError(f"limits.sockets: {error}") from None
+
+
 def read_config(environ: Mapping[str, str]) -> Config:
     """The node's configuration. The variables win over what the file repeats of them."""
     path = environ.get("ROUTER_CONFIG")
@@ -86,7 +102,7 @@
             listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
             discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
             seed=int(raw["seed"], 16),
-            sockets=int(raw["limits"]["sockets"]),
+            sockets=descriptors(int(raw["limits"]["sockets"]), bool(console)),
             memory_mb=float(raw["limits"]["memory_mb"]),
             known=dict(raw.get("known") or {}),
             settings=read_settings(json.dumps(settings).encode()),
--- a/badgercart/console/door.py
+++ b/badgercart/console/door.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import cast
 
 from badgercart.config import Address
 from badgercart.console.calls import Call, Desk
 from badgercart.console.events import OPEN
+from badgercart.core.descriptors import CONSOLE
 
-MAX_CALLERS = 12  # connections at a time; their descriptors are kept back from the clients' and servers'
+MAX_CALLERS = CONSOLE - 1  # connections at a time; their descriptors are kept back for them
+PAUSE = 0.2  # s without accepting, where that fails
 CALL_TIME = 5.0  # s after which one that has made no whole call is closed
 
 
@@ -21,33 +24,62 @@
         self.listen = address
         self.desk = desk
         self.callers: dict[Caller, asyncio.TimerHandle] = {}  # the longest there first
-        self.server: asyncio.Server | None = None
+        self.socket: socket.socket | None = None
 
     async def start(self) -> None:
         """OSError where the address can't be had."""
         host, port = self.listen
-        self.server = await self.loop.create_server(lambda: Caller(self), host, port, backlog=64)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.socket = socket.create_server((host, port), family=family, backlog=64)
+        self.socket.setblocking(False)
+        self.resume()
         OPEN(host=self.address[0], port=self.address[1])
 
     @property
     def address(self) -> Address:
-        assert self.server is not None
-        host, port = self.server.sockets[0].getsockname()[:2]
+        assert self.socket is not None
+        host, port = self.socket.getsockname()[:2]
         return host, port
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self.socket is not None:
+            self.loop.remove_reader(self.socket)
+            self.socket.close()
+            self.socket = None
         for caller in [*self.callers]:
-            caller.transport.abort()
+            caller.abort()
 
-    def enter(self, caller: Caller) -> None:
+    # The loop's own server accepts before it is asked who may stay, and ends for good without descriptors.
+
+    def resume(self) -> None:
+        if self.socket is not None:
+            self.loop.add_reader(self.socket, self.accept)
+
+    def accept(self) -> None:
+        """Take over callers that wait. Called again in each turn of the loop while any does."""
+        assert self.socket is not None
         if len(self.callers) >= MAX_CALLERS:
-            oldest = next(iter(self.callers))
-            self.leave(oldest)
-            oldest.transport.abort()
-        self.callers[caller] = self.loop.call_later(CALL_TIME, caller.transport.abort)
+            next(iter(self.callers)).abort()  # its descriptor is free in the next turn
+        while len(self.callers) < MAX_CALLERS:
+            try:
+                sock, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                self.loop.remove_reader(self.socket)
+                self.loop.call_later(PAUSE, self.resume)
+                return
+            sock.setblocking(False)
+            caller = Caller(self)
+            self.callers[caller] = self.loop.call_later(CALL_TIME, caller.abort)
+            self.loop.create_task(self.take_over(sock, caller))
+
+    async def take_over(self, sock: socket.socket, caller: Caller) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: caller, sock)
+        except OSError:  # gone already
+            sock.close()
+            self.leave(caller)
 
     def leave(self, caller: Caller) -> None:
         if (timer := self.callers.pop(caller, None)) is not None:
@@ -57,7 +89,7 @@
 class Caller(asyncio.Protocol):
     """One call on its connection."""
 
-    transport: asyncio.Transport
+    transport: asyncio.Transport | None = None
 
     def __init__(self, door: Door) -> None:
         self.door = door
@@ -65,10 +97,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.door.enter(self)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        if (answer := self.call.received(data)) is not None:
+        if (answer := self.call.received(data)) is not None and self.transport is not None:
             self.transport.write(answer)
             # Not a plain close: bytes that come unread behind the call would reset the answer. The caller
             # ends the connection, or the door's time does.
--- a/badgercart/fronts/graphql/front.py
+++ b/badgercart/fronts/graphql/front.py
@@ -15,6 +15,7 @@
 from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
 from badgercart.core.clock import MARGIN, now_ms
+from badgercart.core.descriptors import Descriptors
 from badgercart.core.join import Join
 from badgercart.core.names import stable_id
 from badgercart.core.ports import Answer
@@ -41,7 +42,6 @@
 )
 from badgercart.fronts.graphql.settings import GraphqlSettings
 from badgercart.fronts.http.clients import ClientConnection, Listener
-from badgercart.fronts.http.front import SPARE_SOCKETS
 from badgercart.fronts.http.requests import BadRequest, ClientRequest, Headers, Page
 from cottonhall.interface import Effect, Result
 
@@ -113,7 +113,8 @@
         join: Join,
         roster: Roster,
         loop: asyncio.AbstractEventLoop,
-        share: float = 1.0,  # of the descriptors
+        share: float = 1.0,  # of the descriptors that clients and servers have
+        parts: int = 0,  # others in the process, which have descriptors of their own
         folder: Path = Path(),  # what the settings' files are relative to
     ) -> None:
         self.config, self.settings, self.join, self.roster = config, settings, join, roster
@@ -132,19 +133,19 @@
         self.pages: Mapping[bytes, Page] = {}
         self.last = 0
         self.open: dict[int, Execution] = {}
-        room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
+        clients, servers = Descriptors.of(config.sockets, parts=parts).split(share)
         self.carrier = GraphqlCarrier(join)
         self.pool = self.carrier.pool = ServerPool(
             loop,
             config.dial_timeout,
             config.idle_timeout,
-            room * 3 // 8,
+            servers,
             self.carrier.ended,
             source=config.source,
             wanted=join.wanted,
         )
         roster.on_change.append(self.pool.update)
-        self.listener = Listener(loop, settings.listen, self, room - room * 3 // 8, self.read, bad_request)
+        self.listener = Listener(loop, settings.listen, self, clients, self.read, bad_request)
 
     @property
     def healthy(self) -> bool:
--- a/badgercart/fronts/graphql/part.py
+++ b/badgercart/fronts/graphql/part.py
@@ -24,7 +24,14 @@
         from badgercart.fronts.graphql.front import GraphqlFront  # heavy: only where it is switched on
 
         self.front: GraphqlFront = GraphqlFront(
-            host.config, settings, host.join, host.roster, host.loop, host.share, FilePath(host.folder)
+            host.config,
+            settings,
+            host.join,
+            host.roster,
+            host.loop,
+            host.share,
+            host.others,
+            FilePath(host.folder),
         )
 
         register(host.meters, "graphql", self.front.listener)
--- a/badgercart/fronts/http/front.py
+++ b/badgercart/fronts/http/front.py
@@ -10,6 +10,7 @@
 from badgercart.carriers.pool.pool import ServerPool
 from badgercart.config import Config
 from badgercart.core.clock import MARGIN
+from badgercart.core.descriptors import Descriptors
 from badgercart.core.join import Join
 from badgercart.core.ports import Intake
 from badgercart.core.room import Room, room_of
@@ -18,7 +19,7 @@
 from badgercart.fronts.http.events import HANDING_OVER, LISTENING, STOPPING
 from badgercart.fronts.http.requests import ClientRequest, Page, Words, no_words, platform_requests
 
-SPARE_SOCKETS = 32  # descriptors for the loop, the listener, discovery, files, and what is just closing
+LEAST = 8  # descriptors on either side, beside another process
 
 
 class HttpFront:
@@ -30,7 +31,8 @@
         join: Join,
         roster: Roster,
         loop: asyncio.AbstractEventLoop,
-        share: float = 1.0,  # of the descriptors
+        share: float = 1.0,  # of the descriptors that clients and servers have
+        parts: int = 0,  # others in the process, which have descriptors of their own
         pages: Mapping[bytes, Page] | None = None,  # what operators may ask for, by path
         words: Words = no_words,  # in which requests that can't be taken are told why
     ) -> None:
@@ -38,10 +40,8 @@
         self.join = join
         self.roster = roster
         self.stopping = False
-        # A request in flight holds one on either side, but clients also keep what they have opened.
-        room = max(int((config.sockets - SPARE_SOCKETS) * share), 30)
-        servers = room * 3 // 8
-        self.room = room - servers, servers
+        ledger = Descriptors.of(config.sockets, config.console is not None, parts)
+        self.room = clients, servers = ledger.split(share)
         self.bulk = Room(room_of(config.memory_mb))
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, join.ended,
@@ -49,7 +49,7 @@
         )  # fmt: skip
         roster.on_change.append(self.pool.update)
         read = platform_requests(config, streams=True)
-        self.listener = Listener(loop, config.listen, self, room - servers, read, words, self.bulk)
+        self.listener = Listener(loop, config.listen, self, clients, read, words, self.bulk)
         self.pages: Mapping[bytes, Page] = {} if pages is None else pages
 
     @property
@@ -97,7 +97,7 @@
 
     def keep_to(self, part: float) -> None:
         """Hold only this part of the descriptors, from now on."""
-        clients, servers = (max(int(room * part), 8) for room in self.room)
+        clients, servers = (max(int(room * part), min(LEAST, room)) for room in self.room)
         self.bulk.total = int(room_of(self.config.memory_mb) * part)
         self.listener.keep_to(clients)
         self.pool.keep_to(servers)
--- a/badgercart/fronts/http/part.py
+++ b/badgercart/fronts/http/part.py
@@ -45,7 +45,7 @@
 
         config = replace(host.config, listen=settings.listen)
         self.front: HttpFront = HttpFront(
-            config, host.join, host.roster, host.loop, host.share, host.pages, problem
+            config, host.join, host.roster, host.loop, host.share, host.others, host.pages, problem
         )
         register(host.meters, "http", self.front.listener)
 
--- a/badgercart/operator/base.py
+++ b/badgercart/operator/base.py
@@ -9,7 +9,7 @@
 
 from pydantic import Field
 
-from badgercart.config import Config
+from badgercart.config import Config, held_to
 from badgercart.operator.faults import Path
 from badgercart.operator.logs import Log
 from badgercart.operator.model import LONG, Listed, Name, Names, Table
@@ -190,7 +190,7 @@
         listen=("", 0),
         discovery=("", 0),
         seed=int(node.seed, 16) if node.seed else secrets.randbits(64),
-        sockets=node.sockets,
+        sockets=held_to(node.sockets),
         known=known,
         settings=settings,
         classes={cls.name.encode(): i for i, cls in enumerate(base.class_)},
--- a/badgercart/operator/part.py
+++ b/badgercart/operator/part.py
@@ -62,7 +62,8 @@
     reader: ListReader
     loop: asyncio.AbstractEventLoop
     folder: str  # of the operator's file: what it names relative to itself
-    share: float  # of the descriptors, for each part that holds sockets
+    share: float  # of the clients' and servers' descriptors, for each part that has such
+    others: int = 0  # parts that have none of those
     pages: dict[bytes, Page] = field(default_factory=dict)  # for operators, by path
     meters: Meters = field(default_factory=Meters)  # figures for operators
     machines: dict[str, object] = field(default_factory=dict)  # that decide beside the policy, by name
--- a/badgercart/operator/site.py
+++ b/badgercart/operator/site.py
@@ -46,7 +46,16 @@
         self.roster = Roster(reader, self.join)
         declared = what.declared()
         holders = sum(part.sockets for part in declared)
-        self.host = Host(config, self.join, self.roster, reader, loop, what.folder, 1 / max(1, holders))
+        self.host = Host(
+            config,
+            self.join,
+            self.roster,
+            reader,
+            loop,
+            what.folder,
+            1 / max(1, holders),
+            len(declared) - holders,
+        )
         self.host.pages[b"/_members"] = Page(self.members_page)
         self.register(self.host.meters)
         self.steps = in_order(declared)
--- /dev/null
+++ b/tests/core/test_descriptors.py
@@ -0,0 +1,30 @@
+"""What the descriptors of a process are for: the roles' sum stays within the limit, whatever it is."""
+
+from __future__ import annotations
+
+import pytest
+
+from badgercart.core.descriptors import LEAST_CLIENTS, LEAST_SERVERS, Descriptors, TooFewError
+
+
+@pytest.mark.parametrize("console", [False, True])
+@pytest.mark.parametrize("parts", range(5))
+def test_the_sum_of_all_roles_is_within_the_limit(console: bool, parts: int) -> None:
+    refused = 0
+    for limit in [*range(400), 1024, 20_000, 1_000_000]:
+        try:
+            ledger = Descriptors.of(limit, console, parts)
+        except TooFewError:
+            refused += 1
+            continue
+        clients, servers = ledger.split()
+        assert clients >= LEAST_CLIENTS and servers >= LEAST_SERVERS
+        assert sum(ledger.kept.values()) + clients + servers == limit
+        for holders in range(1, 5):
+            assert holders * sum(ledger.split(1 / holders)) <= ledger.shared
+    assert 0 < refused < 100  # a limit of 100 does for any of these
+
+
+def test_too_few_say_what_they_are_for() -> None:
+    with pytest.raises(TooFewError, match=r"^40 are too few: program 24, .*console 13.*16 at least$"):
+        Descriptors.of(40, console=True)
