End a store's connection that says negative places of its log

A negative committed place made the leader cut its log by a negative index. Seen to fail before: the answer was taken. Only who has the group's secret could say it.

--- a/badgercart/distribution/store.py
+++ b/badgercart/distribution/store.py
@@ -695,7 +695,8 @@
             return
         if not self.leading or told.term < self.term:
             return
-        if not source.in_flight or max(told.index, told.committed) > self.last:
+        places = told.index, told.committed
+        if not source.in_flight or min(places) < 0 or max(places) > self.last:
             self.close(source, "stray", f"{source.name!r} says what can't be of its log")
             return
         source.in_flight = False
--- a/badgercart/distribution/telling.py
+++ b/badgercart/distribution/telling.py
@@ -12,7 +12,17 @@
 from dataclasses import dataclass, field
 
 from badgercart.distribution.effects import Close, Effect, Send
-from badgercart.distribution.messages import MAX_TOPICS, Beat, Change, Delta, Entry, No, Subscribe, Whole
+from badgercart.distribution.messages import (
+    MAX_TOPICS,
+    WHOLE,
+    Beat,
+    Change,
+    Delta,
+    Entry,
+    No,
+    Subscribe,
+    Whole,
+)
 from badgercart.distribution.topic import EACH, Topic
 
 BURST = 256 << 10  # bytes built for one connection in one call; the message that passes it is the last
@@ -108,7 +118,7 @@
     def caught_up(self, follower: Follower, name: str, topic: Topic) -> None:
         """A follower knew more of a topic than we did: it is told whole where its number was another's."""
         if topic.number == follower.told[name] and follower.ahead.pop(name, topic.digest) != topic.digest:
-            follower.told[name] = -1
+            follower.told[name] = WHOLE
             self.want(follower, name)
 
     def spend(self, connection: int, takes: int) -> bool:
@@ -188,7 +198,7 @@
             elif number < mine:
                 self.want(follower, name)
             elif digest != topic.digest:
-                follower.told[name] = -1  # its number is ours, what it has is not: no change mends that
+                follower.told[name] = WHOLE  # its number is ours, what it has is not: no change mends that
                 self.want(follower, name)
         return effects + self.pump(now, follower)
 
--- a/tests/distribution/test_telling.py
+++ b/tests/distribution/test_telling.py
@@ -637,9 +637,14 @@
 
 
 def test_an_answer_that_can_not_be_ends_the_connection() -> None:
-    store = leading(Bounds())
-    assert closes(store.received(3001.0, 2, Appended(6, 5000, 0, False))) == [(2, "stray")]
-    store.received(3001.0, 3, Appended(6, 1000, 1000, False))
+    for index, committed in ((5000, 0), (0, 5000), (-1, 0), (0, -1)):
+        store = leading(Bounds())
+        effects = store.received(3001.0, 2, Appended(6, index, committed, True))
+        assert closes(effects) == [(2, "stray")] and "b" not in store.peers
+    for index in (1000, 1001):
+        assert closes(store.received(3001.0, 3, Appended(6, index, 1000, False))) == []
+    effects = store.received(3001.0, 3, Appended(6, 1001, 1000, False))
+    assert closes(effects) == [(3, "stray")], "nothing was asked"
 
 
 def test_a_stalled_store_is_told_nothing_until_there_is_room() -> None:
