--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -8,6 +8,7 @@
 
 import random
 from bisect import bisect_left
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -50,8 +51,10 @@
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 POINTS_AT_ONCE = 2048  # points that are placed on the ring with a list; of more, SLICE go with each event
 SLICE = 256
+SCARCE = 64  # groups above which our stretch is looked through for points, and not the sizes of all servers
 HEARSAY = 0.3  # what others find failing counts for no more: less than one rests at
-COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
+BUDGET = 0.8  # of what makes a cold server fall, what all nodes send: sizes are rough, and its keys are cold
+KEPT = 0.25  # of a node's part in the time in which a server falls, what may wait for draws; one at least
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
 
@@ -128,15 +131,16 @@
         self.ours: list[int] = []  # its servers
         self.ring = Ring()  # places of its servers
         self.points: dict[int, int] = {}  # how many each of them has there
-        self.unplaced: dict[int, None] = {}  # those that have too few or too many yet
+        self.unplaced: OrderedDict[int, None] = OrderedDict()  # those that have too few or too many yet
         self.rested: set[int] = set()  # servers that rest or did, until they prove themselves
+        self.touched: set[int] = set()  # servers of which `recent` or `slow` may be no new one's
         self.known: dict[int, Known] = {}  # what was learned of servers before this start
         self.jobs: dict[int, Job] = {}
         self.streams: dict[tuple[int, int], Job] = {}  # attempts whose answers go on as they come
         self.usual: list[float] = []  # learned answer time by class
         self.offered: list[float] = []  # recent requests, like worths: by class, then by class beyond quota
         self.bands: list[tuple[float, float]] = []
-        self.quota_used: list[float] = []
+        self.buckets: dict[int, tuple[float, float]] = {}  # by tenant: requests in it, as of that much leaked
         self.key_counts: dict[int, float] = {}
         self.keys_total = self.total_recent = 1e-9  # recent requests with a key, recent attempts
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
@@ -146,10 +150,11 @@
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
-        self.carried = 0.0  # timely answers a ms and warm server, at best
+        self.carried = 0.0  # timely answers a ms and server, at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
-        self.upkeep_at = self.halved_at = self.now = 0.0
+        self.upkeep_at = self.halved_at = self.now = self.leaked = 0.0  # the last: ms that buckets leaked
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
+        self.works: dict[int, float] = {}  # the time that a warm one takes for an answer, by kind of machine
         self.warm = self.slots = self.strongest = self.mean_strength = 1.0
         self.ask_backoff = settings.ask_within / 40
         self.turns: dict[int, Turn] = {}  # by key
@@ -160,13 +165,13 @@
         self.inside: dict[int, set[int]] = {}  # the same, to look one up
         self.zones_old = True  # whether they have to be sorted anew
         self.focus: dict[int, float] = {}  # how much of what we send goes to a zone, over its even part
-        self.warm_focus: dict[int, float] = {}  # the same as if all its servers were warm
         self.spilt: dict[int, tuple[float, float]] = {}  # attempts that may spill into a zone, as of when
-        every = frozenset(range(len(settings.classes)))
-        self.settle_terms(Retuned(settings, every, every))
+        self.settle_terms(Retuned(settings, every := frozenset(range(len(settings.classes))), every))
 
     def settle_terms(self, event: Retuned) -> None:
         """Put settings in force: what was learned of a class that stays is kept."""
+        kept = [t for t in self.buckets if t < len(event.settings.quotas) and t not in event.tenants]
+        self.buckets = {t: (used, self.leaked) for t in kept if (used := self.used_by(t)) > 0}
         self.settings = settings = event.settings
         had, n, classes = len(self.usual), len(settings.classes), settings.classes
         self.pace = min(1.0, min(classes[i].aim for i in event.live) / AIM)
@@ -181,27 +186,23 @@
         for i in event.fresh:
             self.usual[i] = classes[i].aim / 4
         self.bands = (self.bands + [(0.0, 100.0)] * (2 * n))[: 2 * n]
-        for server in self.servers.values():
+        for server in self.servers.values() if n > had or event.fresh else ():
             server.health += [Health() for _ in range(n - had)]
             for i in event.fresh:
                 server.health[i] = Health()
-        self.quota_used = (self.quota_used + [0.0] * len(settings.quotas))[: len(settings.quotas)]
-        for i in event.tenants:
-            self.quota_used[i] = 0.0
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.settle_company()
 
     def settle_company(self) -> None:
         """Go by who shares the fleet: as told, else as the settings say."""
-        told, settings = self.company, self.settings
-        size = settings.group_size
-        self.group = told or Company(size, settings.me, size)
-        parts = told.parts if told is not None else ()
-        same = len(parts) == len(settings.quotas)  # else they are of other settings
-        self.divisors = [1 / part for part in parts] if same else [self.group.may_live] * len(settings.quotas)
+        size, quotas = self.settings.group_size, self.settings.quotas
+        self.group = group = self.company or Company(size, self.settings.me, size)
+        same = len(group.parts) == len(quotas)  # else they are of other settings
+        self.divisors = [1 / part for part in group.parts] if same else [group.may_live] * len(quotas)
 
     def on_company(self, event: Company) -> None:
         self.company = event
+        self.buckets = {t: (used, self.leaked) for t in self.buckets if (used := self.used_by(t)) > 0}
         self.settle_company()
         for server_id, level in event.hearsay:
             if (server := self.servers.get(server_id)) is not None:
@@ -223,7 +224,7 @@
     def busy(self) -> tuple[set[int], set[int]]:
         """Classes and tenants that a request or an attempt still has."""
         jobs = [*self.jobs.values()]
-        for server in self.servers.values():
+        for server in (self.servers[server_id] for server_id in self.touched & self.servers.keys()):
             jobs += [*(job for job, _ in server.open.values()), *server.uploads.values()]
         requests = [job.request for job in (*jobs, *self.streams.values())]
         return {request.cls for request in requests}, {request.tenant for request in requests}
@@ -282,10 +283,11 @@
         if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
             if not 0 <= tenant < len(settings.quotas):
                 raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
-            if self.quota_used[tenant] > settings.quotas[tenant] / self.divisors[tenant]:
+            used = self.used_by(tenant)
+            if used > settings.quotas[tenant] / self.divisors[tenant]:
                 group += len(settings.classes)
             else:
-                self.quota_used[tenant] += 1
+                self.buckets[tenant] = used + 1, self.leaked
         self.offered[group] += 1
         if request.key and settings.warm_keys:
             self.key_counts[request.key] = self.key_counts.get(request.key, 0.0) + 1
@@ -308,11 +310,15 @@
             job.turn.line.append(job)
         self.attempt(job)
 
+    def used_by(self, tenant: int) -> float:
+        """What is in a tenant's bucket. It leaks when it is looked at: upkeep must not cost all tenants."""
+        count, at = self.buckets.get(tenant, (0.0, 0.0))
+        gone = self.settings.quotas[tenant] * ((self.leaked - at) / 1000 / self.divisors[tenant])
+        return max(0.0, count - gone)
+
     def upkeep(self) -> None:
         passed = min(self.now - self.upkeep_at, 1000.0) if self.upkeep_at else UPKEEP * self.pace
-        self.upkeep_at = self.now
-        used = zip(self.quota_used, self.settings.quotas, self.divisors, strict=True)
-        self.quota_used = [max(0.0, count - quota * (passed / 1000 / by)) for count, quota, by in used]
+        self.upkeep_at, self.leaked = self.now, self.leaked + passed
         if self.now - self.halved_at >= SHARE_HALF:
             self.halved_at = self.now
             self.offered = [x / 2 for x in self.offered]
@@ -320,7 +326,8 @@
             self.key_counts = {k: c / 2 for k, c in self.key_counts.items() if c > 0.5}
             self.total_recent /= 2
             self.turns = {k: t for k, t in self.turns.items() if t.line or t.out or t.rest_until > self.now}
-            for server in self.servers.values():
+            self.touched &= self.servers.keys()
+            for server in (self.servers[server_id] for server_id in self.touched):
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
             self.measure_fleet()
@@ -375,7 +382,8 @@
         self.age = min(self.age + passed, RATE_TIME * self.pace)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
         self.best_rate = max(self.best_rate * (1 - passed / (BEST_TIME * self.pace)), self.rate)
-        self.carried = max(self.carried * (1 - passed / (BEST_TIME * self.pace)), self.rate / self.warm)
+        carried = self.rate / max(len(self.ready), 1)  # whatever rests: it must not be overrated
+        self.carried = max(self.carried * (1 - passed / (BEST_TIME * self.pace)), carried)
         self.met = 0
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
@@ -428,6 +436,7 @@
         if job.turn:
             job.turn.out += 1
         job.tries += 1
+        self.touched.add(server.entry.id)
         server.recent += 1
         self.total_recent += 1
 
@@ -475,7 +484,7 @@
             return ()  # as for sending again: it feeds a jam
         found: list[int] = []
         start = int(self.random.random() * len(self.ready))  # their order is that of hashes: any part will do
-        for server_id in self.ready[start:] + self.ready[:start]:
+        for server_id in (self.ready[at] for at in range(start - len(self.ready), start)):
             if len(found) >= most:
                 break
             server = self.servers[server_id]
@@ -548,7 +557,7 @@
         chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
         yield from sorted(drawn, key=lambda i: chance[i])
         start = int(self.random.random() * len(there))
-        yield from there[start:] + there[:start]
+        yield from (there[at] for at in range(start - len(there), start))
 
     def choose(self, job: Job, draw: Iterator[int], focus: float = 1.0) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two.
@@ -563,7 +572,8 @@
             fit = self.usable(server, health) and self.allowed(job, server) and server_id not in job.used
             if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
                 continue
-            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
+            able = max(self.strength(server) * self.cold_share(server), 1e-6)
+            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / able
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen <= most and load < least):
@@ -587,15 +597,15 @@
             # Where servers remember keys, the key's own places come first; one that draws much has more.
             places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
             first = int(self.random.random() * places)
-            yield self.place(key, first)
-            yield self.place(key, (first + 1) % max(places, 2))
+            own = self.place(key, first), self.place(key, (first + 1) % max(places, 2))
+            yield from (i for i in own if i in self.placed)  # of one that left, points may be there yet
         drawn = [self.ours[int(self.random.random() * self.span)] for _ in range(DRAW) if self.ours]
         # Our zone's come first, of them likelier the stronger. If none fits: the stretch, then the fleet.
         far = {i: self.servers[i].entry.zone != self.settings.zone for i in drawn}
         chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
         yield from sorted(drawn, key=lambda i: (far[i], chance[i]))
         start = self.start + int(self.random.random() * self.span)
-        yield from self.ready[start:] + self.ready[:start]
+        yield from (self.ready[at] for at in range(start - len(self.ready), start))
 
     def place(self, key: int, number: int) -> int:
         """A key's place: the next point of the ring."""
@@ -620,22 +630,23 @@
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
 
     def cold_token(self, server: Server) -> bool:
-        # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
-        # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
-        # A fleet that begins cold has no warm peers to tell that: there listed sizes do, and what is answered
-        # makes room for the next.
-        begins = len(self.cold) > 0.9 * len(self.ready)
-        size = server.entry.size if begins and 0.5 <= server.entry.size <= 8 else 1.0
-        if begins and (len(server.open) + 1) * self.group.may_live <= size:
-            return True
-        one = size / self.group.may_live / max(self.usual)
-        share = self.cold_share(server) * (1.0 if begins else COLD_SHARE)
-        rate = share * max(self.carried, one) * len(self.ready) / self.span
-        if self.plan is not None:  # a warm peer of its zone has so much more or less than an even part
-            rate *= self.warm_focus.get(server.entry.zone, 0.0)
-        server.tokens = min(server.tokens + rate * (self.now - server.tokens_at), 1.0)
+        """Whether a cold server may get an attempt now.
+
+        All nodes together keep to BUDGET of what the settings allow it, each to an even part of that: less
+        than one attempt mostly. What has come together undrawn is kept a while: draws of one are rare."""
+        entry, settings, nodes = server.entry, self.settings, self.group.may_live
+        size = entry.size if 0.5 <= entry.size <= 8 else 1.0  # 1 serves one at once
+        # Known from settings and list but for the work: that is learned of warm servers of its kind.
+        warm = max(size / (self.works.get(entry.kind) or max(self.usual)), self.carried)
+        rate = BUDGET * settings.tip_multiple * self.cold_share(server) * warm / nodes
+        if not self.in_stretch(entry.id):
+            rate = 0.0  # it is left to those in whose stretch it is, who share its budget
+        earned = rate * len(self.ready) / self.span * (self.now - server.tokens_at)
+        server.tokens = min(server.tokens + earned, max(1.0, KEPT * rate * settings.overload_for))
         server.tokens_at = self.now
-        return server.tokens >= 1.0
+        # A fleet that begins cold has no warm peers to serve meanwhile: one on credit, if all have a slot.
+        begins = len(self.cold) > 0.9 * len(self.ready) and (len(server.open) + 1) * nodes <= size
+        return server.tokens >= (-1.0 if begins else 0.0)
 
     def allowed(self, job: Job, server: Server, until: float = 0.0) -> bool:
         """Whether the class lets the request go to this server, given where it may have run already."""
@@ -740,13 +751,16 @@
         self.failed += weight * bad - self.failed / REACH
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
+            kind = server.entry.kind
+            work = self.works.get(kind) or max(self.usual)
+            self.works[kind] = work + 0.1 * (outcome.elapsed * self.cold_share(server) - work)
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
         if not bad or result == Result.TIMEOUT:
             # How slow against its class, then its kind: few samples of one server, many of its kind.
             ratio = min(outcome.elapsed / self.usual[cls], 8.0)
-            kind = self.kinds.get(server.entry.kind, 1.0)
-            self.kinds[server.entry.kind] = kind + 0.005 * (ratio - kind)
-            server.slow += 0.4 * (ratio / kind - server.slow)
+            pace = self.kinds.get(server.entry.kind, 1.0)
+            self.kinds[server.entry.kind] = pace + 0.005 * (ratio - pace)
+            server.slow += 0.4 * (ratio / pace - server.slow)
         wanted = job.terms
         if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
             self.met += 1
@@ -852,8 +866,9 @@
         for kind, sizes in new.items():
             self.sizes.setdefault(kind, Sizes()).add(sizes)
         if len(went) + len(came) > 64:
-            self.ready = sorted([*(i for i in self.ready if i not in went), *came], key=mix)
-            self.marks = [mix(i) for i in self.ready]
+            kept = [pair for pair in zip(self.marks, self.ready, strict=True) if pair[1] not in went]
+            pairs = sorted([*kept, *((mix(server_id), server_id) for server_id in came)])
+            self.marks, self.ready = [mark for mark, _ in pairs], [server_id for _, server_id in pairs]
             return
         for server_id in went:
             at = self.ready.index(server_id, bisect_left(self.marks, mix(server_id)))
@@ -872,7 +887,7 @@
         group = self.group.me * groups // self.group.size
         self.start = group * count // groups
         self.span = max(1, (group + 1) * count // groups - self.start)
-        self.ours = self.ready[self.start : self.start + self.span]
+        self.ours = self.ready if groups == 1 else self.ready[self.start : self.start + self.span]
         if self.plan is not None:
             if self.zones_old or groups > 1:
                 self.sort_zones()
@@ -887,8 +902,7 @@
         strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
         self.mean_strength = strength / max(1, count)
         if groups != 1 or self.groups != 1:
-            for server_id in self.points.keys() ^ set(self.ours):
-                self.unplaced[server_id] = None
+            self.unplaced |= dict.fromkeys(self.points.keys() ^ set(self.ours))
         self.groups = groups
         self.mark_points(pace)
 
@@ -920,17 +934,10 @@
     def weigh_zones(self, plan: Planned) -> None:
         """How much more or less than an even part of what we send goes to each zone."""
         own, total = plan.shares[: len(self.settings.classes)], sum(map(len, self.zones.values()))
-        coldness: dict[int, float] = {}
-        for server_id in self.cold:
-            server = self.servers[server_id]
-            less = 1 - self.cold_share(server)
-            coldness[server.entry.zone] = coldness.get(server.entry.zone, 0.0) + less
         for zone, there in self.zones.items():
             count = max(1, len(there))
             part = sum(row[zone] for row in own if zone < len(row)) / len(own)
-            warmth = max(1 - coldness.get(zone, 0.0) / count, 1e-3)
             self.focus[zone] = part * total / count
-            self.warm_focus[zone] = min(part / warmth, 1.0) * total / count  # its part is less as it is cold
 
     def measure_warmth(self) -> None:
         self.cold = {i for i in self.cold if self.cold_share(self.servers[i]) < 1.0}
@@ -949,11 +956,12 @@
 
     def mark_points(self, pace: dict[int, float]) -> None:
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
-        strongest = self.strongest
+        most = RING_POINTS if self.groups <= SCARCE else 0
         for kind, paced in pace.items():
-            level = Level(RING_POINTS, paced, strongest)
-            for server_id in self.sizes[kind].moved((paced, strongest), level, RING_POINTS):
-                self.unplaced[server_id] = None
+            level = Level(RING_POINTS, paced, self.strongest)
+            self.unplaced |= dict.fromkeys(self.sizes[kind].moved((paced, self.strongest), level, most))
+        if not most:  # a look at ours costs less than one at all that moved
+            self.unplaced |= dict.fromkeys(i for i in self.ours if self.points.get(i) != self.points_due(i))
         if self.unplaced:
             few = len(self.unplaced) * RING_POINTS <= POINTS_AT_ONCE
             self.place_points(POINTS_AT_ONCE if few else SLICE)
@@ -962,16 +970,17 @@
         at = bisect_left(self.marks, mix(server_id))
         return self.start <= at < self.start + self.span and server_id in self.placed
 
+    def points_due(self, server_id: int) -> int:
+        return int(RING_POINTS * self.strength(self.servers[server_id])) + 1
+
     def place_points(self, most: int) -> None:
         """Give servers on the waiting list their points, until so many were placed or taken away."""
         fresh: list[tuple[int, int]] = []
         while self.unplaced and most > 0:
-            server_id = next(iter(self.unplaced))
-            del self.unplaced[server_id]
+            server_id, _ = self.unplaced.popitem(last=False)  # of a plain dict the first is found ever later
             wanted, have = 0, self.points.pop(server_id, 0)
             if self.in_stretch(server_id):
-                wanted = int(RING_POINTS * self.strength(self.servers[server_id])) + 1
-                self.points[server_id] = wanted
+                wanted = self.points[server_id] = self.points_due(server_id)
             most -= 1 + abs(wanted - have)
             for number in range(min(have, wanted), max(have, wanted)):
                 point = mix(server_id * 1000003 + number), server_id
@@ -994,7 +1003,9 @@
             return
         if old is None or old.entry.started != entry.started:  # new, or restarted: what we knew is void
             health = [Health() for _ in self.usual]
-            self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
+            self.servers[entry.id] = Server(entry, -self.random.random(), self.now, health)
+            if self.ready:  # as much as its peers': else it would draw more than they do
+                self.servers[entry.id].recent = self.total_recent / len(self.ready)
             if old is not None:
                 self.servers[entry.id].open, self.servers[entry.id].uploads = old.open, old.uploads
             if (known := self.known.pop(entry.id, None)) is not None and old is None:
@@ -1007,6 +1018,7 @@
         """Take over what was learned of a server before our own start, unless it has started anew since."""
         if abs(known.started - server.entry.started) >= 1.0 or len(known.fails) != len(server.health):
             return
+        self.touched.add(server.entry.id)
         server.slow, server.recent = known.slow, known.recent
         self.total_recent += known.recent
         for health, fails, strikes in zip(server.health, known.fails, known.strikes, strict=True):
