Call a long request that is given up in the middle cancelled, as before

The table of ends is as it was.

tests/bulk/test_streams.py, test_gone.py, test_orders.py and tests/carriers pass.

--- a/badgercart/carriers/pool/attempts.py
+++ b/badgercart/carriers/pool/attempts.py
@@ -25,16 +25,8 @@
 # How an attempt may end from where it is. One that was not sent never ran, and one that was may have.
 ENDS: dict[At, tuple[Result, ...]] = {
     At.DIALLING: (Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT),
-    At.SENT: (
-        Result.OK,
-        Result.ERROR,
-        Result.FULL,
-        Result.RESET,
-        Result.TIMEOUT,
-        Result.CANCELLED,
-        Result.NOT_SENT,
-    ),  # fmt: skip
-    At.SENDING: (Result.OK, Result.ERROR, Result.FULL, Result.UNREACHABLE, Result.CANCELLED, Result.NOT_SENT),
+    At.SENT: (Result.OK, Result.ERROR, Result.FULL, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
+    At.SENDING: (Result.OK, Result.ERROR, Result.FULL, Result.UNREACHABLE, Result.CANCELLED),
     At.STREAMING: (Result.OK, Result.ERROR, Result.RESET, Result.TIMEOUT, Result.CANCELLED),
 }
 OVERDUE = {
--- a/badgercart/carriers/pool/pool.py
+++ b/badgercart/carriers/pool/pool.py
@@ -528,8 +528,12 @@
         """Nobody waits for it: what has not been written of it never is. A server begins a request with its
         last byte, so one whose last byte is still here never runs."""
         attempt = self.attempts.get((request_id, number))
-        if attempt is not None and not (attempt.connection and attempt.connection.all_sent()):
+        if attempt is None:
+            return
+        if attempt.at is At.DIALLING:
             self.drop(attempt, Result.NOT_SENT)
+        elif attempt.connection is not None and not attempt.connection.all_sent():
+            self.drop(attempt, Result.CANCELLED)
 
     def drop(self, attempt: Attempt, result: Result) -> None:
         """Stop waiting: the connection is of no more use, an answer may still come on it."""
