Put servers on the waiting list for points one by one: adding a dict to an OrderedDict copies it

To blame: OrderedDict |= dict makes a list of pairs first, 1 us an entry against 0.3, and so many pairs at once set off full collections.

Now one loop in mark_points, which is also told who came into our subset or left it.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -894,10 +894,9 @@
         self.slots = (size if 0.5 <= size <= 8 else 1.0) / self.group.size
         strength = sum(sizes.total / pace[kind] / self.strongest for kind, sizes in kinds)
         self.mean_strength = strength / max(1, count)
-        if groups != 1 or self.groups != 1:
-            self.unplaced |= dict.fromkeys(self.points.keys() ^ set(self.ours))
+        changed = self.points.keys() ^ set(self.ours) if groups != 1 or self.groups != 1 else set()
         self.groups = groups
-        self.mark_points(pace)
+        self.mark_points(pace, changed)
 
     def sort_zones(self) -> None:
         """The servers of our stretch by zone; where it has none of a zone, all that there are."""
@@ -954,14 +953,15 @@
         resting = sum(health.rest_until > 0 for health in server.health)
         return self.cold_share(server) * resting / len(server.health)
 
-    def mark_points(self, pace: dict[int, float]) -> None:
+    def mark_points(self, pace: dict[int, float], changed: set[int]) -> None:
         """Find the servers that have too few or too many points on the ring, and place a few at once."""
-        most = RING_POINTS if self.groups <= SCARCE else 0
+        most, ours = (RING_POINTS, []) if self.groups <= SCARCE else (0, self.ours)
+        moved = [*changed, *(i for i in ours if self.points.get(i) != self.points_due(i))]
         for kind, paced in pace.items():
             level = Level(RING_POINTS, paced, self.strongest)
-            self.unplaced |= dict.fromkeys(self.sizes[kind].moved((paced, self.strongest), level, most))
-        if not most:  # a look at ours costs less than one at all that moved
-            self.unplaced |= dict.fromkeys(i for i in self.ours if self.points.get(i) != self.points_due(i))
+            moved += self.sizes[kind].moved((paced, self.strongest), level, most)
+        for server_id in moved:
+            self.unplaced[server_id] = None
         if self.unplaced:
             few = len(self.unplaced) * RING_POINTS <= POINTS_AT_ONCE
             self.place_points(POINTS_AT_ONCE if few else SLICE)
--- a/tests/policy/test_slopes.py
+++ b/tests/policy/test_slopes.py
@@ -445,7 +445,7 @@
 
         told = [entry(number, State.DRAINING) for number in range(70)]
         told += [entry(servers + number) for number in range(70)]
-        monkeypatch.setattr(policy, "mark_points", lambda pace: None)
+        monkeypatch.setattr(policy, "mark_points", lambda pace, changed: None)
         monkeypatch.setattr(cottonhall.rules, "mix", counted)
         policy.handle(2.0, ServerList(ListKind.DELTA, 2, told))
         monkeypatch.setattr(cottonhall.rules, "mix", mix)
