--- a/tests/distribution/test_telling.py
+++ b/tests/distribution/test_telling.py
@@ -16,6 +16,7 @@
     Append,
     Appended,
     Beat,
+    Change,
     Codec,
     Delta,
     Entry,
@@ -395,6 +396,23 @@
     assert numbers == {name: store.number(name) for name in names} and len(got) == 51
 
 
+def test_many_changes_in_force_at_once_are_no_more_than_a_burst_either(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(telling, "BURST", 1000)
+    store = alone(Recovered(), Store)
+    greet(store, 5)
+    store.received(0.0, 5, Subscribe((("t", 0, 0),)))
+    log = tuple(Change(1, index, "t", (Entry("k", b"%0200d" % index),)) for index in range(1, 21))
+    got = said(store.received(1.0, 1, Append(1, 0, log, 20)), 5)
+    assert store.committed == 20 and len(got) == 5 and store.due == store.now
+    while store.due <= store.now:
+        more = said(store.tick(2.0), 5)
+        assert 0 < len(more) <= 5
+        got += more
+    assert [m.number for m in got if isinstance(m, Delta)] == list(range(1, 21))
+
+
 def test_a_topic_of_many_parts_is_told_whole_though_it_changes_and_stalls_between(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -619,9 +637,14 @@
 
 
 def test_an_answer_that_can_not_be_ends_the_connection() -> None:
-    store = leading(Bounds())
-    assert closes(store.received(3001.0, 2, Appended(6, 5000, 0, False))) == [(2, "stray")]
-    store.received(3001.0, 3, Appended(6, 1000, 1000, False))
+    for index, committed in ((5000, 0), (0, 5000), (-1, 0), (0, -1)):
+        store = leading(Bounds())
+        effects = store.received(3001.0, 2, Appended(6, index, committed, True))
+        assert closes(effects) == [(2, "stray")] and "b" not in store.peers
+    for index in (1000, 1001):
+        assert closes(store.received(3001.0, 3, Appended(6, index, 1000, False))) == []
+    effects = store.received(3001.0, 3, Appended(6, 1001, 1000, False))
+    assert closes(effects) == [(3, "stray")], "nothing was asked"
 
 
 def test_a_stalled_store_is_told_nothing_until_there_is_room() -> None:
