--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -50,7 +50,7 @@
     if math.isinf(value):
         return "not up to 100 times the target"
     if value <= LEAST:
-        return f"**under {percent(LEAST)}**"
+        return "**at any size**"
     return f"**{percent(value)}**" if value < 1 else f"{number(value)} times the target"
 
 
