--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -215,15 +215,16 @@
     came, out = (
         runs.law(runs.first(PEERS), f"bytes {way}", "nodes", "median", tenants=use) for way in ("in", "out")
     )
+    most = runs.law(runs.first(PEERS), "bytes worst", "nodes", "median", tenants=use)
     processor = runs.law(runs.first(PEERS), "processor", "nodes", "median", tenants=use)
     memory = runs.law(runs.first(PEERS), "memory", "nodes", "one", tenants=0)
     view = runs.law(runs.first(PEERS), "one view", "nodes", "worst", tenants=0)
     death = runs.law(runs.first(PEERS), "one view after a death", "nodes", "worst", tenants=0)
     return (
-        Need("messages in", "with reports of use of ten tenants", "B/s", lambda t: came(t.nodes),
-             BUDGETS["bytes"], CELLS, (came,), plain=True),
-        Need("messages out", "with reports of use of ten tenants", "B/s", lambda t: out(t.nodes),
-             BUDGETS["bytes"], CELLS, (out,), plain=True),
+        Need("messages in and out", "with reports of use of ten tenants", "B/s",
+             lambda t: came(t.nodes) + out(t.nodes), BUDGETS["bytes"], CELLS, (came, out)),
+        Need("messages in and out", "the same, of the node that bears most", "B/s", lambda t: most(t.nodes),
+             BUDGETS["bytes"], CELLS, (most,), plain=True),
         Need("processor", "with reports of use of ten tenants", "of a core",
              lambda t: processor(t.nodes) / 1000, BUDGETS["core"], CELLS, (processor,), plain=True),
         Need("memory", "the other members", "MB", lambda t: t.nodes * memory(t.nodes) / 1e6,
