--- a/badgercart/distribution/driver.py
+++ b/badgercart/distribution/driver.py
@@ -190,7 +190,10 @@
     # Links.
 
     def made(self, link: Link) -> None:
-        self.links[link.number] = link
+        if self.open:
+            self.links[link.number] = link
+        else:
+            link.end(at_once=True)
 
     def message(self, link: Link, message: Message) -> None:
         self.run(self.machine.received(self.clock(), link.number, message))
@@ -313,9 +316,6 @@
         return self.next_link()
 
     def made(self, link: Link) -> None:
-        if not self.open:
-            link.end(at_once=True)
-            return
         super().made(link)
         if isinstance(link, Dialled):
             self.run(self.store.connected(self.clock(), link.number, link.name))
--- a/tests/distribution/test_driver.py
+++ b/tests/distribution/test_driver.py
@@ -328,6 +328,26 @@
     run(test())
 
 
+def test_a_connection_that_comes_up_as_the_driver_closes_is_ended(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = await store_at(tmp_path)
+        loop, coming = asyncio.get_running_loop(), store.coming()
+        follower, _ = following(store.listen)
+        late = module.Link(follower, 99)
+        # Both wait to be told of their connections while their drivers close.
+        other = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        store.close()
+        follower.close()
+        for link in (coming, late):
+            address = other.sockets[0].getsockname()
+            transport, _ = await loop.create_connection(lambda link=link: link, *address)  # type: ignore[misc]
+            assert transport.is_closing() and link.ended
+        assert not store.links and not follower.links
+        other.close()
+
+    run(test())
+
+
 # Who does not read.
 
 
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -206,8 +206,12 @@
     rig.tell(Delta(A, wrong.number, wrong.digest ^ 1, wrong.entries))
     rig.do(rig.follower.closed(rig.now, rig.connection))
     assert rig.connect() == Subscribe(((A, WHOLE, 0),))
-    rig.tell(Beat(0.0))
+    rig.tell(Beat(0.0), after=1)
     assert rig.follower.age(rig.now) > 0
+    told: list[Effect] = []
+    while not told:
+        told = rig.tell(Beat(0.0), after=100) if rig.now + 100 < rig.follower.due else rig.tick()
+    assert closes(told) == ["no-answer"]  # it is owed there, too
 
 
 @pytest.mark.parametrize("how", ["delta", "whole"])
@@ -306,6 +310,17 @@
     assert rig.held()[A] == (6, state.entries)
 
 
+def test_a_whole_that_nobody_asked_for_is_owed_until_its_last_part() -> None:
+    rig = Rig()
+    state = rig.with_topic()
+    state.change(entries(x="7"))
+    first, *others = wholes(A, state, 3)
+    rig.tell(first, Beat(0.0), after=10)
+    assert rig.follower.age(rig.now) == 20
+    rig.tell(*others, Beat(0.0))
+    assert rig.held()[A] == (5, state.entries) and rig.follower.age(rig.now) == 0
+
+
 def test_parts_of_two_topics_may_mix() -> None:
     rig = Rig(A, B)
     rig.connect()
@@ -417,12 +432,12 @@
 
 
 def test_a_store_that_is_cut_off_from_its_leader_is_kept_while_another_is_looked_for() -> None:
-    rig = Rig()
+    rig = Rig(timing=Timing(window=100.0))
     state = rig.with_topic()
     store = rig.follower.store
     rig.tell(Beat(TIMING.lag))
     by = rig.follower.due
-    assert rig.now <= by <= rig.now + TIMING.window
+    assert rig.now <= by <= rig.now + 100.0
     rig.tell(next_delta(A, state, x="6"), Beat(TIMING.lag + 10))
     assert rig.held()[A][0] == 5 and rig.follower.due == by  # put off by nothing but a leader
     told = rig.tick()
@@ -558,6 +573,14 @@
     rig = filled(9000)
     assert closes(rig.tell(*wholes(A, big, 10))) == ["oversized"] and rig.held()[A][0] == 0
     assert not rig.follower.staged and not rig.follower.staged_size
+    rig = filled(5000)
+    told = rig.tell(*wholes(A, big, 10)[:5])
+    assert closes(told) == ["oversized"] and not rig.follower.staged_size  # long before the last
+    two = Rig(A, B)
+    two.follower.most_bytes = 15_000
+    two.connect()
+    assert closes(two.tell(*wholes(A, big, 10), *wholes(B, big, 10))) == ["oversized"]
+    assert two.held()[A][0] == 1 and two.held()[B][0] == 0
     rig = filled(11_000)
     rig.tell(*wholes(A, big, 10))
     had = rig.held()
--- a/tests/distribution/test_part.py
+++ b/tests/distribution/test_part.py
@@ -336,7 +336,9 @@
             old = n.part.driver
             s.close()
             moved = await started(tmp_path / "s")
-            fresh = node_settings(moved.listen, when_stale="go-on", service="other", stale_after_ms=700.0)
+            fresh = node_settings(
+                moved.listen, when_stale="go-on", service="other", stale_after_ms=700.0, group="g2"
+            )
             known = n.site.what
             installation = Installation(known.config, known.parts | {"distribution": fresh})
             assert n.site.reload(installation) == [] and not old.open and not old.links
