--- a/badgercart/core/descriptors.py
+++ b/badgercart/core/descriptors.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass
 
-PROGRAM = 24  # 18 of a process at rest: its streams, the loop's own; and some that it may have inherited
+PROGRAM = 20  # 17 of a process at rest: its streams, the loop's own; and some that it may have inherited
 LISTENERS = 2
-DISCOVERY = 3  # the call under way, one that is being left and one that is just closing
+DISCOVERY = 7  # calls side by side, as many to an address that is being left, and one just closing
 FILES = 5  # the configuration, kept state and its lock, a sign of life, a module that is loaded late
 CONSOLE = 13  # its listener and its callers
 PART = 4  # any other part of an installation
