Have a newcomer's count fade as well, where the halving looks at servers that were sent to

Two changes met: a server that comes now begins with as much traffic behind it as its peers have, and the halving looks only at servers that were sent to or remembered. Such a newcomer's count stood still until its first attempt. test_what_was_seen_of_servers_fades_as_if_all_were_looked_at failed on the join (5.4 where 2.7 belongs) and passes now.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -283,8 +283,7 @@
         if settings.quotas:  # a bucket 1 s deep that leaks the quota; our traffic stands for all nodes'
             if not 0 <= tenant < len(settings.quotas):
                 raise LookupError(f"a request names tenant {tenant}, which the settings do not have")
-            used = self.used_by(tenant)
-            if used > settings.quotas[tenant] / self.divisors[tenant]:
+            if (used := self.used_by(tenant)) > settings.quotas[tenant] / self.divisors[tenant]:
                 group += len(settings.classes)
             else:
                 self.buckets[tenant] = used + 1, self.leaked
@@ -1006,6 +1005,7 @@
             self.servers[entry.id] = Server(entry, -self.random.random(), self.now, health)
             if self.ready:  # as much as its peers': else it would draw more than they do
                 self.servers[entry.id].recent = self.total_recent / len(self.ready)
+                self.touched.add(entry.id)
             if old is not None:
                 self.servers[entry.id].open, self.servers[entry.id].uploads = old.open, old.uploads
             if (known := self.known.pop(entry.id, None)) is not None and old is None:
