--- a/tests/core/test_descriptors.py
+++ b/tests/core/test_descriptors.py
@@ -26,5 +26,5 @@
 
 
 def test_too_few_say_what_they_are_for() -> None:
-    with pytest.raises(TooFewError, match=r"^40 are too few: program 24, .*console 13.*16 at least$"):
+    with pytest.raises(TooFewError, match=r"^40 are too few: program 20, .*console 13.*16 at least$"):
         Descriptors.of(40, console=True)
--- a/tests/ends/test_descriptors.py
+++ b/tests/ends/test_descriptors.py
@@ -18,6 +18,7 @@
 from badgercart.carriers.pool import pool as pools
 from badgercart.console.door import MAX_CALLERS
 from badgercart.core.descriptors import DISCOVERY, FILES, LISTENERS, PROGRAM, Descriptors
+from badgercart.membership.tries import MOST as MOST_CALLS
 from tests.net import WAIT, Agent, Client, Peer, request, run, running
 from tests.test_process import COMMAND, Process, raw_config
 
@@ -38,6 +39,11 @@
     return socks
 
 
+def test_discovery_has_as_many_as_it_may_open() -> None:
+    """All its calls are out when it moves to another address."""
+    assert DISCOVERY == 2 * MOST_CALLS + 1
+
+
 # Told more than the system lets it hold, or told less: it goes by what is less.
 @pytest.mark.parametrize(("told", "system"), [(1024, LIMIT), (LIMIT, 1024)])
 def test_idle_clients_leave_the_list_the_console_a_reload_and_the_servers_their_descriptors(
--- a/tests/ends/test_ready.py
+++ b/tests/ends/test_ready.py
@@ -10,7 +10,7 @@
 import pytest
 
 from badgercart.membership.catalog import Discovery
-from badgercart.membership.tries import PATIENCE, Pace
+from badgercart.membership.tries import MOST, PATIENCE, Pace
 from tests.ends.discovery import InTurn, Service
 from tests.ends.test_told import entry, on_a_clock
 from tests.ends.virtual import Loop
@@ -91,7 +91,7 @@
         await asyncio.sleep(SOON)
         (first,) = service.lines
         while not first.ended:
-            assert len(service.lines) <= 3
+            assert len(service.lines) <= MOST
             await asyncio.sleep(0.1)
         assert PATIENCE < loop.now - 1000.0 < PATIENCE + 2.0
         follower.close()
