--- a/badgercart/carriers/pool/attempts.py
+++ b/badgercart/carriers/pool/attempts.py
@@ -17,7 +17,7 @@
     """Where an attempt is."""
 
     DIALLING = 0  # no byte has been sent
-    SENT = 1  # given to the transport: it may have run
+    SENT = 1  # given to the transport: it may have run, unless some of it is still there
     SENDING = 2  # the request comes in and goes on: it can't have run before its last byte
     STREAMING = 3  # the answer has begun to go on
 
