--- a/tests/benchmarks/test_fit.py
+++ b/tests/benchmarks/test_fit.py
@@ -81,10 +81,6 @@
 
 
 def test_doublings_end_with_the_target() -> None:
-<<<<<<< HEAD
     assert doublings(10, 170) == [10, 20, 40, 80, 170]
-=======
-    assert doublings(10, 170)[-2:] == [160, 170]
->>>>>>> 33a718bbe494565777046aa975dc74c0a0f1f11e
     assert doublings(10, 160) == [10, 20, 40, 80, 160]
     assert doublings(1, 64, 4) == [1, 4, 16, 64] and doublings(10, 4) == [4] and doublings(10, 10) == [10]
