--- a/badgercart/distribution/telling.py
+++ b/badgercart/distribution/telling.py
@@ -12,7 +12,17 @@
 from dataclasses import dataclass, field
 
 from badgercart.distribution.effects import Close, Effect, Send
-from badgercart.distribution.messages import MAX_TOPICS, Beat, Change, Delta, Entry, No, Subscribe, Whole
+from badgercart.distribution.messages import (
+    MAX_TOPICS,
+    WHOLE,
+    Beat,
+    Change,
+    Delta,
+    Entry,
+    No,
+    Subscribe,
+    Whole,
+)
 from badgercart.distribution.topic import EACH, Topic
 
 BURST = 256 << 10  # bytes built for one connection in one call; the message that passes it is the last
@@ -34,7 +44,7 @@
     waiting_bytes: int = 16 << 20
     stages: int = 2  # stores that are told all topics at one time
     parts: int = 4096  # in which a store takes all topics
-    guests: int = 64  # connections that are neither stores' nor subscribed
+    guests: int = 256  # connections that are neither stores' nor subscribed
 
 
 def size(entries: Iterable[Entry]) -> int:
@@ -68,8 +78,13 @@
         self.deltas: dict[str, deque[Delta]] = {}
         self.order: OrderedDict[tuple[str, int], int] = OrderedDict()  # of all deltas: their bytes
         self.history_bytes = 0
+        self.spent: dict[int, int] = {}  # bytes built in this call, by connection; see `call_over`
         self.touched = 0  # followers that were looked at for changes, since the start
 
+    def call_over(self) -> None:
+        """What was built is the driver's now."""
+        self.spent.clear()
+
     # Changes.
 
     def apply(self, now: float, change: Change) -> list[Effect]:
@@ -80,14 +95,20 @@
         topic.change(change.entries)
         self.entries += len(topic.entries) - before
         delta = Delta(change.topic, topic.number, topic.digest, change.entries)
-        self.remember(delta)
+        takes = size(change.entries)
+        self.remember(delta, takes)
         effects: list[Effect] = []
         for connection in self.index.get(change.topic, ()):
             self.touched += 1
             follower = self.followers[connection]
             if topic.number <= follower.told[change.topic]:
                 self.caught_up(follower, change.topic, topic)
-            elif follower.stalled or follower.todo or follower.told[change.topic] != topic.number - 1:
+            elif (
+                follower.stalled
+                or follower.todo
+                or follower.told[change.topic] != topic.number - 1
+                or not self.spend(connection, takes)
+            ):
                 self.want(follower, change.topic)
             else:
                 follower.told[change.topic] = topic.number
@@ -97,13 +118,20 @@
     def caught_up(self, follower: Follower, name: str, topic: Topic) -> None:
         """A follower knew more of a topic than we did: it is told whole where its number was another's."""
         if topic.number == follower.told[name] and follower.ahead.pop(name, topic.digest) != topic.digest:
-            follower.told[name] = -1
+            follower.told[name] = WHOLE
             self.want(follower, name)
 
-    def remember(self, delta: Delta) -> None:
+    def spend(self, connection: int, takes: int) -> bool:
+        """Whether something may still be built for a connection in this call; if so, it is."""
+        spent = self.spent.get(connection, 0)
+        if spent >= BURST:
+            return False
+        self.spent[connection] = spent + takes + EACH
+        return True
+
+    def remember(self, delta: Delta, takes: int) -> None:
         past = self.deltas.setdefault(delta.topic, deque())
         past.append(delta)
-        takes = size(delta.entries)
         self.order[delta.topic, delta.number] = takes
         self.history_bytes += takes
         if len(past) > self.bounds.history_each:
@@ -170,7 +198,7 @@
             elif number < mine:
                 self.want(follower, name)
             elif digest != topic.digest:
-                follower.told[name] = -1  # its number is ours, what it has is not: no change mends that
+                follower.told[name] = WHOLE  # its number is ours, what it has is not: no change mends that
                 self.want(follower, name)
         return effects + self.pump(now, follower)
 
@@ -212,10 +240,10 @@
     def pump(self, now: float, follower: Follower) -> list[Effect]:
         """Up to BURST bytes of what a follower is to be told."""
         effects: list[Effect] = []
-        built = 0
-        while built < BURST and (message := self.next(follower)) is not None:
-            effects.append(Send(follower.connection, message))
-            built += size(message.entries) + EACH
+        connection = follower.connection
+        while self.spent.get(connection, 0) < BURST and (message := self.next(follower)) is not None:
+            effects.append(Send(connection, message))
+            self.spend(connection, size(message.entries))
         if follower.todo and not follower.stalled:
             self.busy[follower.connection] = None
         else:
@@ -226,28 +254,27 @@
 
     def next(self, follower: Follower) -> Whole | Delta | None:
         """The next message to a follower; None: it has all."""
-        while follower.todo:
-            name = next(iter(follower.todo))
-            if follower.whole:
-                part = follower.whole.popleft()
-                if not follower.whole:
-                    follower.told[name] = part.number
-                return part
-            topic, told = self.topics[name], follower.told[name]
-            if told == topic.number:
+        if not follower.todo:
+            return None
+        name = next(iter(follower.todo))
+        topic, told = self.topics[name], follower.told[name]
+        past = self.deltas.get(name)
+        message: Whole | Delta
+        if not follower.whole and past and past[0].number <= told + 1:
+            message = past[told + 1 - past[0].number]
+        else:
+            if not follower.whole:
+                parts = list(topic.parts())
+                follower.whole.extend(
+                    Whole(name, topic.number, topic.digest, at, len(parts), part)
+                    for at, part in enumerate(parts, 1)
+                )
+            message = follower.whole.popleft()
+        if not follower.whole:
+            follower.told[name] = message.number
+            if message.number == topic.number:
                 del follower.todo[name]
-                continue
-            past = self.deltas.get(name)
-            if told >= 0 and past and past[0].number <= told + 1:
-                delta = past[told + 1 - past[0].number]
-                follower.told[name] = delta.number
-                return delta
-            parts = list(topic.parts())
-            follower.whole.extend(
-                Whole(name, topic.number, topic.digest, at, len(parts), part)
-                for at, part in enumerate(parts, 1)
-            )
-        return None
+        return message
 
     def beats(self, now: float, known: float) -> list[Effect]:
         """To each follower how old what it was told is; `known`: when we had all that was in force."""
