--- a/benchmarks/capacity/laws.py
+++ b/benchmarks/capacity/laws.py
@@ -21,6 +21,7 @@
     "tenants": TARGET.tenants,
     "nodes": TARGET.nodes,
     "processes": TARGET.nodes,
+    "members": TARGET.nodes,
     "zones": TARGET.zones,
     "classes": TARGET.routes,
     "connections": BUDGETS["connections"].value,
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -14,6 +14,7 @@
 from badgercart.peers.queue import most_times
 from badgercart.peers.uses import MAX_TENANTS as MOST_SHARED
 from badgercart.peers.view import MAX_MEMBERS
+from badgercart.peers.wire import MAX_SYNC
 from badgercart.retune.checks import MAX_CLASSES, MAX_TENANTS
 from badgercart.zones.council import COMMITS, VOTERS, Terms
 from badgercart.zones.keeper import LOOK
@@ -26,6 +27,8 @@
 A_SERVER = TARGET.nodes / TARGET.servers  # nodes that there are for each server
 POLICY = ("policy", "policy-before")  # runs, the one that counts first
 PEERS = ("peers", "peers-first")
+VIEWS = ("peers", "peers-large", "peers-first")  # groups without reports of use
+ALONE = "peers-by-itself"  # one member, up to as many others as it takes
 SHARE_MS = 500.0  # between two reports in a small group: `PeersSettings.share_ms`
 
 
@@ -218,8 +221,8 @@
     most = runs.law(runs.first(PEERS), "bytes worst", "nodes", "median", tenants=use)
     processor = runs.law(runs.first(PEERS), "processor", "nodes", "median", tenants=use)
     memory = runs.law(runs.first(PEERS), "memory", "nodes", "one", tenants=0)
-    view = runs.law(runs.first(PEERS), "one view", "nodes", "worst", tenants=0)
-    death = runs.law(runs.first(PEERS), "one view after a death", "nodes", "worst", tenants=0)
+    view = runs.law(runs.first(VIEWS), "one view", "nodes", "worst", tenants=0)
+    death = runs.law(runs.first(VIEWS), "one view after a death", "nodes", "worst", tenants=0)
     return (
         Need("messages in and out", "with reports of use of ten tenants", "B/s",
              lambda t: came(t.nodes) + out(t.nodes), BUDGETS["bytes"], CELLS, (came, out)),
@@ -236,6 +239,23 @@
     )  # fmt: skip
 
 
+def alone_needs(runs: Runs) -> tuple[Need, ...]:
+    """What one member's long steps take; nothing where they were not run."""
+    if ALONE not in runs.runs:
+        return ()
+    use = runs.law(ALONE, "a round of use", "members", tenants=REPORTED)
+    exchange = runs.law(ALONE, "a push-pull", "members", tenants=REPORTED)
+    size = runs.law(ALONE, "bytes of a push-pull", "members", tenants=MOST_SHARED)
+    return (
+        Need("time", "a round of use holds the loop, ten tenants", "ms", lambda t: use(t.nodes),
+             BUDGETS["standstill"], Mechanism.SHARES, (use,), plain=True),
+        Need("time", "a whole exchange holds the loop, ten tenants", "ms", lambda t: exchange(t.nodes),
+             BUDGETS["standstill"], Mechanism.CELLS, (exchange,), plain=True),
+        Need("limit", "bytes of a whole exchange, 64 tenants", "bytes", lambda t: size(t.nodes),
+             limit(MAX_SYNC, "bytes", "badgercart.peers.wire.MAX_SYNC"), Mechanism.SHARES, (size,)),
+    )  # fmt: skip
+
+
 def use_needs(runs: Runs) -> tuple[Need, ...]:
     """What the counters of use take; nothing where it was not run."""
     if not any(name in runs.runs for name in PEERS):
@@ -376,8 +396,9 @@
                 Need("time", "between two reports of a member", "s", lambda t: reports_every(t.nodes),
                      BUDGETS["report"], CELLS, note="worked out by `Member.every`"),
                 *member_needs(runs),
+                *alone_needs(runs),
             ),
-            (CELLS,),
+            (CELLS, SHARES),
         ),
         Role(
             "tenants' shares",
