--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -509,7 +509,7 @@
     TOLD = Mechanism.STANDS
     return [
         Role(
-            "what follows lists and configuration",
+            "what follows the list",
             "numbered changes, told to each node for what it serves",
             "the entries of the topics that the node follows, their numbers",
             (
