Have the burst of a test taken on whole, however slow the machine is

Ruled out: the node; the test had set the other threshold (BURST_FULL) aside for the same reason.

Change: that of the requests in flight is set aside, too. What the test asserts is as it was.

--- a/tests/ends/test_gone.py
+++ b/tests/ends/test_gone.py
@@ -221,7 +221,9 @@
 
 async def in_a_burst_while_connections_come_up(scene: Scene) -> None:
     scene.node.pool.max_connections = 2 * MANY
-    scene.monkeypatch.setattr(rules, "BURST_FULL", 1e9)  # all of them are taken on, by one server
+    # All of them are taken on, by one server, however long the machine takes over it.
+    scene.monkeypatch.setattr(rules, "BURST_FULL", 1e9)
+    scene.monkeypatch.setattr(rules, "IN_FLIGHT_FULL", 1e9)
     held, gate, connect = 0, asyncio.Event(), ServerPool.connect
 
     async def gated(pool: ServerPool, attempt: Any) -> None:
