Show a long request that is answered seconds late while its server hangs

Cause: the time limit of an attempt with a streamed body starts when all of the body is written. While the server reads nothing there is none, though the node has the whole request.

Change: review/3 with its claim and script. No code of the project is changed.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,37 @@
+"""A server hangs in the middle of a long body: the answer comes seconds too late."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from small_deployment import Record, run_case
+from uploads import LATE_MS, WATCH_S, Uploads
+
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Sizes as bytes over the room that there is; without the disruption, over CALM_BYTES.
+OVER_ROOM_BYTES = range(30_000, -500_001, -30_000)
+CALM_BYTES = 4_500_000
+
+
+async def play(record: Record) -> bool | None:
+    """Return whether the rule held; None if no request was taken whole."""
+    uploads, taken = await Uploads(record).start(), 0
+    try:
+        room = await uploads.measure_room() if TROUBLE else CALM_BYTES
+        for over in OVER_ROOM_BYTES:
+            sent = await uploads.send(room + over, TROUBLE, WATCH_S)
+            record(str(sent))
+            taken += sent.delivered_ms is not None
+            # A connection that ends with no answer is case 1.
+            if not sent.unanswered and sent.late_ms > LATE_MS:
+                return False
+    finally:
+        await uploads.stop()
+    return True if taken else None
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), play))
