Measure the room for a long body three times in the cases of hung servers

Cause: one measurement in six was 0.4 MB too high, so that case 3 came to its size only after 68 s.

Change: the least of three measurements, and other ranges of sizes around it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Sizes as bytes over the room that there is; without the disruption, over CALM_BYTES.
-OVER_ROOM_BYTES = range(30_000, -500_001, -30_000)
+OVER_ROOM_BYTES = range(150_000, -350_001, -30_000)
 CALM_BYTES = 4_500_000
 
 
--- a/review/uploads.py
+++ b/review/uploads.py
@@ -35,6 +35,7 @@
 # The page's largest body.
 PROBE_BYTES = 32_000_000
 PROBE_S = 1.0
+PROBES = 3
 PIECE_BYTES = 65536
 NO_LIMIT = "this machine takes even the largest body whole"
 CONTENT_LENGTH = re.compile(rb"(?i)content-length: (\d+)")
@@ -189,13 +190,15 @@
         return sent
 
     async def measure_room(self) -> int:
-        """Return how many bytes the node's machine takes while the server hangs."""
-        await self.send(PROBE_BYTES, trouble=True, watch_s=PROBE_S)
-        room = PROBE_BYTES - self.unsent
-        self.record(f"with a server that hangs, there is room for about {room} bytes")
-        if self.unsent <= 0:
-            raise CaseError(NO_LIMIT)
-        return room
+        """Return how many bytes the node's machine takes while the server hangs, at least."""
+        rooms = []
+        for _ in range(PROBES):
+            await self.send(PROBE_BYTES, trouble=True, watch_s=PROBE_S)
+            rooms.append(PROBE_BYTES - self.unsent)
+            self.record(f"with a server that hangs, there is room for about {rooms[-1]} bytes")
+            if self.unsent <= 0:
+                raise CaseError(NO_LIMIT)
+        return min(rooms)
 
     async def stop(self) -> None:
         """End the node."""
