--- a/review/uploads.py
+++ b/review/uploads.py
@@ -181,6 +181,8 @@
             try:
                 sent.status = answer.result().status
                 sent.ended_ms = self.record(f"the client gets {sent.status}")
+                if sent.delivered_ms is None:  # answered between two looks: it was taken by now
+                    sent.delivered_ms = sent.ended_ms
             except (OSError, asyncio.IncompleteReadError) as error:
                 sent.ended_ms = self.record(f"the connection ends with no answer: {error!r}")
         else:
