Start the time of a streamed request as its body is complete, not as it is written

The answer came when the server went on, about 4.05 s after the request's time, of which 0.5 s are allowed; had it hung on, after 10 s (the scan of stalled streams).

Cause: `ServerConnection.forward_upload` returned where writing is paused, before it looked at whether the upload is complete, and started the timeout only once nothing was left to write. While an attempt connects, `on_upload_data` did it right.

Change: `forward_upload` starts the timeout as soon as the upload is complete. A timeout in the phase STREAMING_REQUEST ends the attempt as UNREACHABLE, which is right, as no server executes a request before its last byte; also where the server has begun an answer, which `on_timeout` would else have streamed, and left the attempt without an end.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -35,7 +35,7 @@
     MalformedResponse,
     UpstreamRequest,
 )
-from badgercart.upstream.log_events import MALFORMED_ANSWER, NO_DESCRIPTORS
+from badgercart.upstream.log_events import MALFORMED_ANSWER, NO_DESCRIPTORS, UPLOAD_TIMED_OUT
 
 # An iteration of the event loop, between an attempt's deadline and its end.
 FINAL_READ_DELAY_S = 0.001
@@ -177,22 +177,21 @@
     def forward_upload(self) -> None:
         """Write what has been received of a streamed request."""
         attempt = self.attempt
-        if (
-            attempt is None
-            or attempt.phase is not AttemptPhase.STREAMING_REQUEST
-            or self.write_paused
-            or self.transport.is_closing()
-        ):
+        if attempt is None or attempt.phase is not AttemptPhase.STREAMING_REQUEST:
             return
         upload = attempt.request.upload
         assert upload is not None
+        if upload.complete:
+            # The client's time counts from here on, also while the server does not read.
+            self.pool.start_timeout(attempt)
+        if self.write_paused or self.transport.is_closing():
+            return
         if data := self.exchange.read_upload():
             self.last_progress_ms = now_ms()
             self.transport.write(data)
         if upload.exhausted:
             attempt.phase = AttemptPhase.SENT
             upload.on_data = do_nothing
-            self.pool.start_timeout(attempt)
 
     def pause_writing(self) -> None:
         """Stop forwarding a request, as the server does not read."""
@@ -643,9 +642,12 @@
             attempt.past_deadline = True
             attempt.timer = self.loop.call_later(FINAL_READ_DELAY_S, self.on_timeout, attempt)
             return
-        if attempt.connection is not None and attempt.connection.exchange.can_stream:
+        connection = attempt.connection
+        if attempt.phase is AttemptPhase.STREAMING_REQUEST:
+            UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
+        elif connection is not None and connection.exchange.can_stream:
             # The body may be a long one, whose first bytes arrived in time.
-            attempt.connection.start_streaming()
+            connection.start_streaming()
             return
         # Where no connection was established in the whole time, nothing was sent.
         self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
--- a/badgercart/upstream/log_events.py
+++ b/badgercart/upstream/log_events.py
@@ -18,3 +18,9 @@
     "no descriptors left for a connection to %(server)s",
     "All connections to servers are busy; the attempt counts as unreachable. Raise `node.sockets`.",
 )
+UPLOAD_TIMED_OUT = define_event(
+    "pool.upload_timed_out",
+    logging.WARNING,
+    "server %(server)s did not read a request's body in its time",
+    "The request is ended; it was not executed, as its last byte was not sent. Look at that server: it hangs, or reads slowly.",
+)
--- a/tests/ends/test_no_attempt_after_disconnect.py
+++ b/tests/ends/test_no_attempt_after_disconnect.py
@@ -30,9 +30,11 @@
     NodeHarness,
     ScriptedServer,
     config,
+    limit_send_buffers,
     request,
     run,
     running,
+    small_listener,
 )
 
 BURST_SIZE = 100
@@ -331,14 +333,7 @@
         name.address = server.sockets[0].getsockname()
     while pool.close_longest_idle():
         pass
-    made = ServerConnection.connection_made
-
-    def small(self: ServerConnection, transport: Any) -> None:
-        made(self, transport)
-        own = transport.get_extra_info("socket")
-        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-
-    scenario.monkeypatch.setattr(ServerConnection, "connection_made", small)
+    limit_send_buffers(scenario.monkeypatch)
     sock = scenario.connect()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * MAX_STREAM_WINDOW_BYTES)
     sock.setblocking(False)
@@ -372,14 +367,6 @@
     await after_a_slow_upload(scenario, MAX_BUFFERED_MESSAGE_BYTES + 40_000)
 
 
-def small_listener() -> socket.socket:
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(8)
-    return listener
-
-
 CASES: list[Case] = [
     right_after_its_request,
     before_it_is_accepted,
--- a/tests/net.py
+++ b/tests/net.py
@@ -5,10 +5,12 @@
 import asyncio
 import json
 import math
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
 
+import pytest
 import uvloop
 
 from badgercart.config import Config
@@ -20,6 +22,7 @@
 from badgercart.node import Node
 from badgercart.policy.events import AttemptEnded
 from badgercart.policy.settings import Idempotency, RequestClass, Settings
+from badgercart.upstream.connection_pool import ServerConnection
 from badgercart.upstream.exchange import UpstreamRequest
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -67,6 +70,30 @@
     """Send no response."""
 
 
+SMALL_BUFFER_BYTES = 4096
+
+
+def small_listener() -> socket.socket:
+    """Return a listening socket whose connections take little that is not read."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES // 2)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(8)
+    return listener
+
+
+def limit_send_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the node's new connections to servers send little that is not read there."""
+    made = ServerConnection.connection_made
+
+    def connection_made(self: ServerConnection, transport: Any) -> None:
+        made(self, transport)
+        own = transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+
+    monkeypatch.setattr(ServerConnection, "connection_made", connection_made)
+
+
 class ScriptedServer:
     """A server that follows a script.
 
--- /dev/null
+++ b/tests/upstream/test_upload_timeouts.py
@@ -0,0 +1,122 @@
+"""When the time of a request with a long body begins and ends, whichever side is slow."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from badgercart.core.memory_budget import MAX_BUFFERED_MESSAGE_BYTES, MAX_STREAM_WINDOW_BYTES
+from badgercart.policy.events import AttemptEnded, AttemptResult, RequestCompleted
+from badgercart.upstream import connection_pool
+from badgercart.upstream.attempts import AttemptPhase
+from tests.net import (
+    SMALL_BUFFER_BYTES,
+    WAIT_S,
+    Client,
+    NodeHarness,
+    ScriptedServer,
+    limit_send_buffers,
+    request,
+    run,
+    running,
+    small_listener,
+)
+
+# What a connection to a server takes while the server reads nothing, and a bit more.
+BLOCKING_BYTES = MAX_STREAM_WINDOW_BYTES + 2 * SMALL_BUFFER_BYTES + 10_000
+# All of it fits into the node while its server reads nothing.
+BODY = bytes(BLOCKING_BYTES + MAX_BUFFERED_MESSAGE_BYTES)
+
+
+class HangingServer:
+    """A server that reads a request's header section, sends `interim` and then hangs."""
+
+    def __init__(self, interim: bytes = b"") -> None:
+        self.interim = interim
+        self.hanging = asyncio.Event()
+        self.read_on = asyncio.Event()
+        self.received: asyncio.Future[bytes] = asyncio.Future()  # the body
+
+    async def start(self) -> HangingServer:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, sock=small_listener(), limit=4096)
+        self.port: int = self.server.sockets[0].getsockname()[1]
+        return self
+
+    entry = ScriptedServer.entry
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.interim)
+        self.hanging.set()
+        await self.read_on.wait()
+        self.received.set_result(await reader.read())
+        writer.close()
+
+
+def long_request(form: str, timeout: str, body: bytes = BODY) -> bytes:
+    """Return a request of a class that is unsafe to repeat, with a long body."""
+    if form == "length":
+        return request("pay", timeout=timeout, body=body)
+    head = request("pay", timeout=timeout)
+    head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    return head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+
+
+@asynccontextmanager
+async def hanging(
+    monkeypatch: pytest.MonkeyPatch, interim: bytes = b"", **changes: Any
+) -> AsyncIterator[tuple[NodeHarness, HangingServer, Client]]:
+    """Run a node whose one server hangs, with a client. No other limit ends a request."""
+    monkeypatch.setattr(connection_pool, "SERVER_STALL_TIMEOUT_MS", math.inf)
+    limit_send_buffers(monkeypatch)
+    server = await HangingServer(interim).start()
+    async with running(server, **changes) as stand:  # type: ignore[arg-type]
+        yield stand, server, await stand.client()
+        server.read_on.set()
+
+
+async def send_until_blocked(stand: NodeHarness, client: Client, data: bytes) -> bytes:
+    """Send the begin of a long request until its server takes no more; return the rest."""
+    client.writer.write(data[:BLOCKING_BYTES])
+    async with asyncio.timeout(WAIT_S):
+        while not any(connection.write_paused for connection in stand.node.pool.connections):
+            await asyncio.sleep(0)
+    return data[BLOCKING_BYTES:]
+
+
+async def body_consuming_attempt(stand: NodeHarness) -> AttemptEnded:
+    """Return the end of the attempt that forwarded some of the body."""
+    while not (outcome := await stand.outcome()).body_consumed:
+        pass
+    return outcome
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 200 OK\r\n\r\nbegun"], ids=["silent", "begun"])
+@pytest.mark.parametrize("form", ["length", "chunks"])
+def test_the_time_of_a_complete_request_passes_while_its_server_reads_nothing(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, form: str, interim: bytes
+) -> None:
+    # Guards against a request that is answered only once its server, hanging within the body, goes
+    # on: its time started when all of the body had been written.
+    async def test() -> None:
+        async with hanging(monkeypatch, interim) as (stand, server, client):
+            rest = await send_until_blocked(stand, client, long_request(form, "300m"))
+            client.writer.write(rest)
+            await stand.event(RequestCompleted)
+            (attempt,) = stand.node.pool.attempts.values()
+            assert attempt.phase is AttemptPhase.STREAMING_REQUEST
+            assert attempt.timer is not None and attempt.deadline_ms <= attempt.started_ms + 300
+            assert (await client.answer())[0] == 503
+            # Its last byte was not sent, so that a retry of this class does no harm.
+            outcome = await body_consuming_attempt(stand)
+            assert outcome.result is AttemptResult.UNREACHABLE
+            assert not server.received.done()
+
+    run(test())
+    assert "did not read a request's body in its time" in caplog.text
