Check the window and the scope of a repeat again as it is written, not only as it is decided

Hypotheses: (a) the window is checked only as the attempt is decided; (b) it is counted from a wrong time; (c) the window of the settings is not the one in use. A trace of `may_send` and `begin_attempt` in a scratch copy decided for (a): window 895 ms (900 less a tick), age of the earlier attempt 302 ms as the repeat is decided, 1,318 ms as it is written; nothing looks at the window in between.

Cause: `RetryPolicy.may_send` knows the time of the decision alone. `ServerPool.begin_attempt`, where every attempt on a server's connection is written, asked again whether the request is awaited, whether the server may get it and whether there is time left, but not for this.

Change: the pool asks the policy as it writes an attempt: `Policy.latest_send_ms` gives the clock time until which it may be sent, by its earlier attempts and the present entry of its server, so that the scope is checked again too. 150 ms are taken off for a process that is held up between reading its clock and writing. An attempt that comes too late ends as NOT_SENT, its connection is kept, its request ends as one that may have run, and `pool.repeat_too_late` is logged. The pool of the GraphQL frontend asks the same.

--- a/badgercart/core/clock.py
+++ b/badgercart/core/clock.py
@@ -7,6 +7,8 @@
 # Subtracted from a client's deadline and from the time until the process ends, so that responses
 # are written in time even when the event loop runs late.
 RESPONSE_MARGIN_MS = 30.0
+# How long the process may be held up between reading the clock and writing.
+MAX_HOLD_UP_MS = 150.0
 
 
 def now_ms() -> float:
--- a/badgercart/core/request_pipeline.py
+++ b/badgercart/core/request_pipeline.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Any, cast
 
-from badgercart.core.clock import RESPONSE_MARGIN_MS, now_ms
+from badgercart.core.clock import MAX_HOLD_UP_MS, RESPONSE_MARGIN_MS, now_ms
 from badgercart.core.log_events import POLICY_FAILED, POLICY_SAID
 from badgercart.core.ports import (
     AttemptObserver,
@@ -349,6 +349,14 @@
             return False
         return True
 
+    def latest_write_ms(self, request_id: int, attempt_number: int) -> float:
+        """Return the latest clock time to write an attempt; called before one is written.
+
+        Earlier attempts, which may have been executed, limit it. It allows for the time that the
+        process may be held up before it writes.
+        """
+        return self.policy.latest_send_ms(request_id, attempt_number) - MAX_HOLD_UP_MS
+
     def attempt_ended(
         self,
         request_id: int,
--- a/badgercart/frontends/graphql/frontend.py
+++ b/badgercart/frontends/graphql/frontend.py
@@ -190,6 +190,7 @@
             self.transport.attempt_ended,
             source_address=config.source,
             is_awaited=pipeline.is_awaited,
+            latest_write_ms=pipeline.latest_write_ms,
         )
         endpoint_table.on_change.append(self.pool.update)
         self.listener = Listener(
--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -68,6 +68,7 @@
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, pipeline.attempt_ended,
             pipeline.response_started, self.memory_budget, config.source, pipeline.is_awaited,
+            pipeline.latest_write_ms,
         )  # fmt: skip
         endpoint_table.on_change.append(self.pool.update)
         reader = platform_request_reader(config, stream_responses=True)
--- a/badgercart/policy/lifecycle.py
+++ b/badgercart/policy/lifecycle.py
@@ -19,7 +19,7 @@
 from badgercart.policy.key_queue import KeyQueue, KeyQueues
 from badgercart.policy.overload import OverloadController
 from badgercart.policy.requests import PendingRequest
-from badgercart.policy.retries import RetryPolicy
+from badgercart.policy.retries import ANY_TIME, NEVER, RetryPolicy
 from badgercart.policy.selection import EndpointSelector
 from badgercart.policy.settings import Settings
 
@@ -157,6 +157,19 @@
         if not pending.attempts:
             self.attempt(pending, now_ms)
 
+    def latest_send_ms(self, request_id: int, number: int) -> float:
+        """Return the clock time before which an attempt that was decided has to be written.
+
+        `ANY_TIME` for a request that has ended: whether it is awaited is known elsewhere.
+        """
+        pending = self.requests.get(request_id)
+        if pending is None or number >= pending.attempts:
+            return ANY_TIME
+        tracked = self._endpoints.by_id.get(pending.tried_endpoints[number])
+        if tracked is None:
+            return NEVER
+        return self.retries.latest_send_ms(pending, tracked.endpoint, number)
+
     # Ends of attempts.
 
     def _close(
--- a/badgercart/policy/policy.py
+++ b/badgercart/policy/policy.py
@@ -164,6 +164,13 @@
 
     # Attempts.
 
+    def latest_send_ms(self, request_id: int, attempt: int) -> float:
+        """Return the clock time before which an attempt that was decided has to be written.
+
+        It changes nothing. Infinity: any time; minus infinity: it is not allowed any more.
+        """
+        return self.lifecycle.latest_send_ms(request_id, attempt)
+
     def on_response_started(self, now_ms: float, event: ResponseStarted) -> None:
         """Count a request as served."""
         self.lifecycle.response_started(event, now_ms)
--- a/badgercart/policy/retries.py
+++ b/badgercart/policy/retries.py
@@ -19,6 +19,9 @@
 MIN_LATENCY_SHARE = 0.5
 # An attempt is not sent if less than this number of clock ticks is left.
 MIN_TICKS = 2
+# Limits of the clock time at which an attempt may be sent.
+ANY_TIME = float("inf")
+NEVER = -ANY_TIME
 # Results after which a request has no time left for a retry.
 FINAL_RESULTS = frozenset({AttemptResult.TIMEOUT, AttemptResult.NOT_SENT})
 
@@ -72,17 +75,32 @@
             return False
         if not pending.possibly_executed:
             return True
+        latest_ms = self.latest_send_ms(pending, endpoint)
+        return latest_ms == ANY_TIME or max(now_ms, until_ms) < latest_ms
+
+    def latest_send_ms(
+        self, pending: PendingRequest, endpoint: Endpoint, number: int | None = None
+    ) -> float:
+        """Return the clock time before which an attempt has to be sent, given the earlier ones.
+
+        Args:
+            pending: the request.
+            endpoint: the endpoint of the attempt.
+            number: the number of the attempt if it is recorded already.
+
+        Returns:
+            `ANY_TIME` if no earlier attempt sets a limit, `NEVER` if it may not be sent there.
+        """
+        earlier = [sent for i, sent in pending.possibly_executed.items() if i != number]
         request_class = pending.request_class
+        if not earlier or request_class.idempotency is Idempotency.IDEMPOTENT:
+            return ANY_TIME
         if request_class.idempotency is not Idempotency.KEYED:
-            return request_class.idempotency is Idempotency.IDEMPOTENT
-        window_ms, sent_ms = (
-            request_class.deduplication_window_ms - self._settings.tick_ms,
-            max(now_ms, until_ms),
-        )
-        return all(
-            sent_ms - earlier_ms < window_ms and _deduplicates(request_class, earlier, endpoint)
-            for earlier_ms, earlier in pending.possibly_executed.values()
-        )
+            return NEVER
+        if not all(_deduplicates(request_class, other, endpoint) for _, other in earlier):
+            return NEVER
+        first_ms = min(sent_ms for sent_ms, _ in earlier)
+        return first_ms + request_class.deduplication_window_ms - self._settings.tick_ms
 
     def end_ms(self, pending: PendingRequest) -> float:
         """Return the clock time until which a response has a value for the client."""
--- a/badgercart/upstream/attempts.py
+++ b/badgercart/upstream/attempts.py
@@ -76,16 +76,19 @@
 
 
 def result_if_blocked(
-    is_awaited: bool, server_usable: bool, remaining_ms: float
+    is_awaited: bool, server_usable: bool, remaining_ms: float, repeat_remaining_ms: float
 ) -> AttemptResult | None:
     """Return the result of an attempt that may not be written any more; None: it may be.
 
     `is_awaited` says whether its request is still in flight, `server_usable` whether its server
-    may get new requests, `remaining_ms` how much of its time is left.
+    may get new requests, `remaining_ms` how much of its time is left, and `repeat_remaining_ms` how
+    much of the time in which servers recognize it as a repeat.
     """
     if not is_awaited:
         return AttemptResult.NOT_SENT
-    return None if server_usable and remaining_ms > 0 else AttemptResult.UNREACHABLE
+    if not server_usable or remaining_ms <= 0:
+        return AttemptResult.UNREACHABLE
+    return None if repeat_remaining_ms > 0 else AttemptResult.NOT_SENT
 
 
 def check_result(phase: AttemptPhase, result: AttemptResult) -> None:
--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -35,7 +35,12 @@
     MalformedResponse,
     UpstreamRequest,
 )
-from badgercart.upstream.log_events import MALFORMED_ANSWER, NO_DESCRIPTORS, UPLOAD_TIMED_OUT
+from badgercart.upstream.log_events import (
+    MALFORMED_ANSWER,
+    NO_DESCRIPTORS,
+    REPEAT_TOO_LATE,
+    UPLOAD_TIMED_OUT,
+)
 
 # An iteration of the event loop, between an attempt's deadline and its end.
 FINAL_READ_DELAY_S = 0.001
@@ -353,6 +358,11 @@
     return True
 
 
+def any_time(request_id: int, attempt_number: int) -> float:
+    """Return infinity, where nothing limits when an attempt may be written."""
+    return math.inf
+
+
 def reject_streaming(
     request_id: int,
     attempt_number: int,
@@ -378,9 +388,11 @@
         memory_budget: MemoryBudget | None = None,
         source_address: str | None = None,  # the local address of connections
         is_awaited: Callable[[int], bool] = assume_awaited,
+        latest_write_ms: Callable[[int, int], float] = any_time,
     ) -> None:
         self.loop = loop
         self.is_awaited = is_awaited
+        self.latest_write_ms = latest_write_ms
         self.local_address = (source_address, 0) if source_address else None
         self.connect_timeout_ms = connect_timeout_ms
         self.idle_timeout = IdleTimeout(idle_timeout_ms)
@@ -487,22 +499,25 @@
     def begin_attempt(self, attempt: Attempt, connection: ServerConnection) -> None:
         """Write an attempt, if it still may be. This is the only place where that starts.
 
-        In the meantime its request may have ended, its deadline passed, or its server started to
-        drain.
+        In the meantime its request may have ended, its deadline or the time for repeats passed, or
+        its server started to drain.
         """
         server = attempt.server
         server_usable = (
             attempt.server_version == server.version and server.state is EndpointState.READY
         )
         server_usable = server_usable and not connection.transport.is_closing()
-        remaining_ms = attempt.deadline_ms - now_ms()
+        is_awaited, now = self.is_awaited(attempt.request_id), now_ms()
+        repeat_remaining_ms = self.latest_write_ms(attempt.request_id, attempt.number) - now
         blocked_result = result_if_blocked(
-            self.is_awaited(attempt.request_id), server_usable, remaining_ms
+            is_awaited, server_usable, attempt.deadline_ms - now, repeat_remaining_ms
         )
         if blocked_result is None:
             connection.start_attempt(attempt)
             return
-        # Nothing is wrong with the connection where only the request is over.
+        if is_awaited and blocked_result is AttemptResult.NOT_SENT:
+            REPEAT_TOO_LATE(server=server.endpoint)
+        # Nothing is wrong with the connection where the attempt alone is over.
         if blocked_result is AttemptResult.NOT_SENT and server_usable:
             self.keep_idle(connection)
         else:
--- a/badgercart/upstream/log_events.py
+++ b/badgercart/upstream/log_events.py
@@ -18,6 +18,12 @@
     "no descriptors left for a connection to %(server)s",
     "All connections to servers are busy; the attempt counts as unreachable. Raise `node.sockets`.",
 )
+REPEAT_TOO_LATE = define_event(
+    "pool.repeat_too_late",
+    logging.WARNING,
+    "a repeat was not sent to %(server)s: its connection came up too late",
+    "Servers would not recognize it as a repeat any more. The request is ended. Look at why connections come up late.",
+)
 UPLOAD_TIMED_OUT = define_event(
     "pool.upload_timed_out",
     logging.WARNING,
--- a/tests/ends/test_disconnect_while_waiting.py
+++ b/tests/ends/test_disconnect_while_waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from dataclasses import replace
 from typing import Any
@@ -192,12 +193,15 @@
 
 
 def test_result_if_blocked_names_why_an_attempt_may_not_be_written() -> None:
-    for is_awaited in (True, False):
-        for server_usable in (True, False):
-            for remaining_ms in (-1.0, 0.0, 1.0):
-                result = result_if_blocked(is_awaited, server_usable, remaining_ms)
-                assert (result is None) == (is_awaited and server_usable and remaining_ms > 0)
-                assert result in (
-                    None,
-                    AttemptResult.NOT_SENT if not is_awaited else AttemptResult.UNREACHABLE,
-                )
+    times_ms = (-1.0, 0.0, 1.0)
+    for is_awaited, server_usable, remaining_ms, repeat_ms in itertools.product(
+        (True, False), (True, False), times_ms, times_ms
+    ):
+        result = result_if_blocked(is_awaited, server_usable, remaining_ms, repeat_ms)
+        in_time = remaining_ms > 0
+        assert (result is None) == (is_awaited and server_usable and in_time and repeat_ms > 0)
+        if result is not None:
+            another_server = is_awaited and not (server_usable and in_time)
+            assert result is (
+                AttemptResult.UNREACHABLE if another_server else AttemptResult.NOT_SENT
+            )
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -80,6 +81,24 @@
     assert not retries.may_send(pending, HERE, 200.0, until_ms=695.0)
 
 
+def test_the_latest_time_to_send_follows_from_the_first_of_the_earlier_attempts() -> None:
+    retries, pending = (
+        retries_of(IDEMPOTENT),
+        possibly_executed_request(keyed(DeduplicationScope.ZONE)),
+    )
+    assert retries.latest_send_ms(pending, SAME_ZONE) == 695.0
+    assert retries.latest_send_ms(pending, SAME_CELL) == -math.inf  # out of the scope
+    # The attempt itself is no earlier one, wherever the list moves its endpoint.
+    assert retries.latest_send_ms(pending, SAME_CELL, number=0) == math.inf
+    pending.possibly_executed[1] = 300.0, SAME_ZONE
+    assert retries.latest_send_ms(pending, HERE, number=1) == 695.0
+    pending.possibly_executed[2] = 400.0, HERE
+    assert retries.latest_send_ms(pending, HERE, number=2) == 695.0
+    for request_class, latest_ms in ((IDEMPOTENT, math.inf), (NON_IDEMPOTENT, -math.inf)):
+        other = possibly_executed_request(request_class)
+        assert retries.latest_send_ms(other, SAME_ZONE) == latest_ms
+
+
 def test_only_reachable_endpoints_are_allowed() -> None:
     request = Request(9, 0, 1100.0, reachable_endpoints=frozenset({2}))
     pending = PendingRequest(request, IDEMPOTENT, 50.0, 40.0)
