Keep a client's connection while its body waits for a server that does not read

A trace of `Listener.check_timeouts` at the abort: the upload is stalled, `receiving_since_s` is infinite, as it should be, but `Listener.uploading` holds the time of the last read.

Cause: since when a client is waited for stands twice, in the state machine and in the listener's map. `on_body` set only the first where the body found no space, and `transition` leaves the map alone where the state is UPLOADING already. Also, bytes that were read after that and before reading was paused set both to the present time again.

Change: `on_body` sets both, and bytes that arrive while the body waits set neither.

--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -232,11 +232,9 @@
         if self.input_ended:
             return
         # A body may take longer the more of it has been received.
-        if self.headers.complete and self.state in self.waiting_since:
-            self.receiving_since_s = min(
-                now_s, self.receiving_since_s + len(data) / MIN_BODY_RATE_BYTES_PER_S
-            )
-            self.waiting_since[self.state][self.driver] = self.receiving_since_s
+        if self.headers.complete and self.state in self.waiting_since and not self.upload_stalled:
+            since_s = self.receiving_since_s + len(data) / MIN_BODY_RATE_BYTES_PER_S
+            self.wait_for_client_since(min(now_s, since_s))
         if self.unparsed:
             self.unparsed += data
         else:
@@ -252,9 +250,8 @@
         ):
             return
         self.upload_stalled = False
-        self.now_s = self.receiving_since_s = self.driver.now_s()
-        if self.state in self.waiting_since:
-            self.waiting_since[self.state][self.driver] = self.receiving_since_s
+        self.now_s = self.driver.now_s()
+        self.wait_for_client_since(self.now_s)
         unparsed, self.unparsed = self.unparsed, b""
         self.parse(unparsed)
         self.serve_pending()
@@ -329,6 +326,12 @@
         if (waiting := self.waiting_since.get(state)) is not None:
             waiting[self.driver] = self.now_s if since_s is None else since_s
 
+    def wait_for_client_since(self, since_s: float) -> None:
+        """Set since when the rest of a request is waited for."""
+        self.receiving_since_s = since_s
+        if self.state in self.waiting_since:
+            self.waiting_since[self.state][self.driver] = since_s
+
     def update_state(self) -> None:
         """Set the state by what the connection waits for now."""
         if self.is_serving:
@@ -512,6 +515,8 @@
             # Reading stops until there is capacity. The client is not the slow side meanwhile, so
             # its request does not time out.
             self.upload_stalled, self.receiving_since_s = True, math.inf
+            if self.state is ConnectionState.UPLOADING:
+                self.waiting_since[self.state][self.driver] = math.inf
 
     def start_upload(self) -> None:
         """Enqueue the request before it is complete; its body is streamed."""
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -11,15 +13,18 @@
 import pytest
 
 from badgercart.core.memory_budget import MAX_BUFFERED_MESSAGE_BYTES, MAX_STREAM_WINDOW_BYTES
+from badgercart.frontends.http import clients
 from badgercart.policy.events import AttemptEnded, AttemptResult, RequestCompleted
 from badgercart.upstream import connection_pool
 from badgercart.upstream.attempts import AttemptPhase
 from tests.net import (
+    OK,
     SMALL_BUFFER_BYTES,
     WAIT_S,
     Client,
     NodeHarness,
     ScriptedServer,
+    field,
     limit_send_buffers,
     request,
     run,
@@ -33,6 +38,18 @@
 BODY = bytes(BLOCKING_BYTES + MAX_BUFFERED_MESSAGE_BYTES)
 
 
+async def read_body(reader: asyncio.StreamReader, head: bytes) -> bytes:
+    """Read a request's body, by its framing."""
+    if (length := field(head, b"Content-Length")) is not None:
+        return await reader.readexactly(int(length))
+    body = b""
+    while True:
+        size = int(await reader.readline(), 16)
+        body += (await reader.readexactly(size + 2))[:size]
+        if not size:
+            return body
+
+
 class HangingServer:
     """A server that reads a request's header section, sends `interim` and then hangs."""
 
@@ -51,11 +68,14 @@
     entry = ScriptedServer.entry
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
         writer.write(self.interim)
         self.hanging.set()
         await self.read_on.wait()
-        self.received.set_result(await reader.read())
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            self.received.set_result(await read_body(reader, head))
+            writer.write(OK)
+            await reader.read()  # until the node closes the connection
         writer.close()
 
 
@@ -120,3 +140,39 @@
 
     run(test())
     assert "did not read a request's body in its time" in caplog.text
+
+
+@pytest.mark.parametrize("form", ["length", "chunks"])
+def test_a_client_whose_body_waits_for_its_server_does_not_time_out(
+    monkeypatch: pytest.MonkeyPatch, form: str
+) -> None:
+    # Guards against a client whose connection ends unanswered, as the node took the time in which
+    # its server read nothing for time in which the client sent nothing.
+    monkeypatch.setattr(clients, "REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(clients, "TIMEOUT_CHECK_INTERVAL_S", 0.01)
+    body = bytes(2 * len(BODY) + SMALL_BUFFER_BYTES)
+
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, client):
+            rest = await send_until_blocked(stand, client, long_request(form, "5000m", body))
+            client.writer.write(rest)
+            (connection,) = stand.node.listener.connections
+            async with asyncio.timeout(WAIT_S):
+                while connection not in stand.node.listener.paused_clients:
+                    await asyncio.sleep(0)
+            checks = Counter[str]()
+            check_timeouts = stand.node.listener.check_timeouts
+
+            def counted() -> None:
+                checks["done"] += 1
+                check_timeouts()
+
+            stand.node.listener.check_timeouts = counted  # type: ignore[method-assign]
+            started_s = connection.now_s()
+            async with asyncio.timeout(WAIT_S):
+                while checks["done"] < 3 or connection.now_s() - started_s < 0.2:
+                    await asyncio.sleep(0.01)
+            server.read_on.set()
+            assert (await client.answer())[0] == 200
+
+    run(test())
