Leave a request its deadline when the body of the next one on its connection arrives

A client that sends a request and, before it is answered, another one with a long body: as that body was complete, `ClientConnection.request_completed` passed its deadline on under the number of the request that is being served, whose further attempts then had the time of the wrong request.

Cause: `request_id` is that of the request being served; it says nothing of the one received.

Change: the pipeline is told only where both are the same request; the later one is accepted with its own time in its turn.

The new test failed before (the deadline moved from 9.0 s to 0.3 s) and passes after it.

--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -615,7 +615,8 @@
     def request_completed(self, request: ClientRequest) -> None:
         """Handle that the body of a request has been received completely."""
         request.sent_ms = now_ms()
-        if self.request_id:
+        # Else it waits for the response to an earlier request of its connection.
+        if self.request_id and self.machine.request is request:
             cast(StreamingRequestHandler, self.listener.handler).request_completed(self, request)
 
     def error_body(self, status: int, reason: str) -> tuple[bytes, bytes]:
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -176,3 +176,23 @@
             assert (await client.answer())[0] == 200
 
     run(test())
+
+
+def test_a_body_that_is_complete_before_its_turn_leaves_the_request_before_it_its_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a request whose deadline is replaced by that of the next one on its connection.
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, client):
+            client.writer.write(request("find", timeout="9000m"))
+            await asyncio.wait_for(server.hanging.wait(), WAIT_S)
+            (in_flight,) = stand.node.pipeline.in_flight.values()
+            deadline_ms = in_flight.request.deadline_ms
+            client.writer.write(long_request("length", "300m", bytes(MAX_STREAM_WINDOW_BYTES)))
+            (connection,) = stand.node.listener.connections
+            async with asyncio.timeout(WAIT_S):
+                while not (connection.machine.pending and connection.machine.upload is None):
+                    await asyncio.sleep(0)
+            assert in_flight.request.deadline_ms == deadline_ms
+
+    run(test())
