Start a request's time as its last byte arrives, though it may not be read yet

Change: while a connection is not read, its listener looks every 0.1 s at how much has arrived (FIONREAD). Once no byte of the body is missing, the time of the request starts from the look at which the last bytes had come: for the policy, the pipeline and the attempt. For a body of unknown length, or where the system does not tell, a client that has sent nothing for its whole time while its body waits is taken to have sent all: if it had, its time would be over. A request of which something is still missing keeps its time, as before.

--- a/badgercart/core/streams.py
+++ b/badgercart/core/streams.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -60,6 +61,8 @@
         self.buffered_bytes = 0
         self.consumed = False  # some of it has been read, and can't be read again
         self.complete = False  # all of it has been received
+        # The clock time at which its last byte arrived on this machine; infinite: not known.
+        self.arrived_ms = math.inf
         self.on_data: Callable[[], None] = do_nothing
         self.on_space: Callable[[], None] = do_nothing
         self.on_abandoned: Callable[[], None] = do_nothing
@@ -83,6 +86,11 @@
         self.complete = True
         self.on_data()
 
+    def mark_arrived(self, arrived_ms: float) -> None:
+        """Note when the last byte arrived on this machine, where some may wait to be received."""
+        self.arrived_ms = arrived_ms
+        self.on_data()
+
     def abandon(self) -> None:
         """Report that the rest of the body never arrives."""
         self.on_abandoned()
@@ -100,6 +108,11 @@
         self.on_space()
         return data
 
+    @property
+    def arrived(self) -> bool:
+        """Whether all of the body is on this machine, so that the client's time has started."""
+        return self.complete or self.arrived_ms < math.inf
+
     @property
     def exhausted(self) -> bool:
         """Whether nothing is left to read, now or later."""
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import select
 import socket
 from collections import Counter
@@ -31,6 +32,7 @@
     RequestReader,
     empty_error_body,
 )
+from badgercart.frontends.http.socket_input import DISCONNECT_EVENTS, poll_socket, unread_bytes
 
 # The time to receive the headers of a request, for the first one from the connection's start. A
 # body has as much more as its size allows (connection.MIN_BODY_RATE_BYTES_PER_S).
@@ -46,9 +48,9 @@
 HANDOVER_IDLE_S = 0.6
 # After this time it closes every connection between two requests, however short it has been idle.
 HANDOVER_CLOSE_ALL_AFTER_S = 1.2
-# How often connections that are not read are checked for clients that have left.
-DISCONNECT_CHECK_INTERVAL_S = 0.1
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# How often connections that are not read are checked for what has arrived: the rest of a request, or
+# the end of a client that has left.
+PAUSED_CHECK_INTERVAL_S = 0.1
 DRAIN_CHECK_INTERVAL_S = 0.02
 LISTEN_BACKLOG = 1024  # connections
 
@@ -123,7 +125,7 @@
         }
         # Connections whose reading is paused: the event loop does not notice when they end.
         self.paused_clients: set[ClientConnection] = set()
-        self.disconnect_timer: asyncio.TimerHandle | None = None
+        self.paused_timer: asyncio.TimerHandle | None = None
         self.socket: socket.socket | None = None
         self.opened = True  # whether connections may be accepted
         self.accepting = False  # whether the event loop watches the socket
@@ -223,7 +225,7 @@
     def close(self) -> None:
         """Close the listening socket and stop the timers."""
         self.stop_accepting()
-        for timer in (self.timeout_timer, self.disconnect_timer):
+        for timer in (self.timeout_timer, self.paused_timer):
             if timer is not None:
                 timer.cancel()
 
@@ -323,20 +325,23 @@
         return self.max_connections // 3
 
     def watch_paused_client(self, client: ClientConnection) -> None:
-        """Check regularly whether the client leaves while its connection is not read."""
+        """Check regularly what arrives on a connection while it is not read."""
         self.paused_clients.add(client)
-        if self.disconnect_timer is None:
-            self.disconnect_timer = self.loop.call_later(
-                DISCONNECT_CHECK_INTERVAL_S, self.check_disconnects
+        if self.paused_timer is None:
+            self.paused_timer = self.loop.call_later(
+                PAUSED_CHECK_INTERVAL_S, self.check_paused_clients
             )
 
-    def check_disconnects(self) -> None:
-        """Close paused connections whose clients have left."""
-        for client in [client for client in self.paused_clients if client.has_disconnected()]:
-            self.paused_clients.discard(client)
-            client.transport.abort()
-        self.disconnect_timer = (
-            self.loop.call_later(DISCONNECT_CHECK_INTERVAL_S, self.check_disconnects)
+    def check_paused_clients(self) -> None:
+        """Close paused connections whose clients have left; note requests that have arrived."""
+        for client in [*self.paused_clients]:
+            if client.has_disconnected():
+                self.paused_clients.discard(client)
+                client.transport.abort()
+            else:
+                client.note_body_arrival()
+        self.paused_timer = (
+            self.loop.call_later(PAUSED_CHECK_INTERVAL_S, self.check_paused_clients)
             if self.paused_clients
             else None
         )
@@ -491,11 +496,13 @@
 
     def poll_socket(self, events: int) -> bool:
         """Return whether any of these poll events is set on the socket."""
-        if self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), events)
-        return bool(poll.poll(0))
+        return not self.transport.is_closing() and poll_socket(self.descriptor, events)
+
+    @property
+    def descriptor(self) -> int:
+        """The file descriptor of the socket."""
+        descriptor: int = self.transport.get_extra_info("socket").fileno()
+        return descriptor
 
     # Calls of the request pipeline.
 
@@ -614,7 +621,29 @@
 
     def request_completed(self, request: ClientRequest) -> None:
         """Handle that the body of a request has been received completely."""
-        request.sent_ms = now_ms()
+        self.start_request_time(request, now_ms())
+
+    def note_body_arrival(self) -> None:
+        """Start the time of a request whose body waits for its server, once all of it is here."""
+        machine = self.machine
+        request, arrival = machine.streaming_request, machine.body_arrival
+        if request is None or arrival is None or self.transport.is_closing():
+            return
+        now, unread = now_ms(), unread_bytes(self.descriptor)
+        arrival.observe(machine.received_bytes + (unread or 0), now)
+        missing = machine.missing_body_bytes(unread)
+        arrived_ms = arrival.completed_ms(missing, request.timeout_ms, now)
+        if arrived_ms is not None:
+            self.start_request_time(request, arrived_ms)
+
+    def start_request_time(self, request: ClientRequest, arrived_ms: float) -> None:
+        """Note when the last byte of a streamed request arrived. Only the first call counts."""
+        upload = request.message.upload
+        assert upload is not None
+        if upload.arrived_ms < math.inf:
+            return
+        upload.mark_arrived(arrived_ms)
+        request.sent_ms = arrived_ms
         # Else it waits for the response to an earlier request of its connection.
         if self.request_id and self.machine.request is request:
             cast(StreamingRequestHandler, self.listener.handler).request_completed(self, request)
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -16,6 +16,7 @@
 import httptools
 
 from badgercart.core.streams import ResponseHeaderSection, Upload
+from badgercart.frontends.http.body_arrival import BodyArrival
 from badgercart.frontends.http.requests import (
     HEADER_READERS,
     MAX_REQUEST_BYTES,
@@ -174,9 +175,9 @@
     """
 
     __slots__ = (
-        "__weakref__", "advancing", "body", "chunked_response", "driver", "has_received_request", "headers",
+        "__weakref__", "advancing", "body", "body_arrival", "chunked_response", "driver", "has_received_request", "headers",
         "input_ended", "is_serving", "keep_alive", "last_received_s", "now_s", "open_request_names", "parser",
-        "pending", "reading_paused", "receiving", "receiving_since_s", "request", "request_bytes", "state",
+        "pending", "reading_paused", "received_bytes", "receiving", "receiving_since_s", "request", "request_bytes", "state",
         "streaming_request", "unparsed", "upload", "upload_stalled", "url", "waiting_since", "write_blocked",
     )  # fmt: skip
 
@@ -218,9 +219,11 @@
         self.headers = RequestHeaders()
         self.body = bytearray()
         self.request_bytes = 0  # received of the current request
+        self.received_bytes = 0  # on this connection
         # The body of the request being received and the request itself, if the body is streamed.
         self.upload: Upload | None = None
         self.streaming_request: ClientRequest | None = None
+        self.body_arrival: BodyArrival | None = None  # of the streamed body
         self.upload_stalled = False  # the streamed body waits for capacity
         self.chunked_response = False  # the current response uses chunked encoding
 
@@ -229,6 +232,7 @@
     def received(self, data: bytes, now_s: float) -> None:
         """Handle bytes from the client."""
         self.now_s = self.last_received_s = now_s
+        self.received_bytes += len(data)
         if self.input_ended:
             return
         # A body may take longer the more of it has been received.
@@ -439,7 +443,17 @@
         self.request_bytes = 0
         self.url = b""
         self.headers, self.body = RequestHeaders(), bytearray()
-        self.upload = self.streaming_request = None
+        self.upload = self.streaming_request = self.body_arrival = None
+
+    def missing_body_bytes(self, unread_bytes: int | None) -> int | None:
+        """Return how much of the streamed body has not arrived; None if that is not known.
+
+        `unread_bytes`: how much of the connection's input has not been received here.
+        """
+        if self.upload is None or self.upload.body_length is None or unread_bytes is None:
+            return None
+        arrived_bytes = self.headers.body_bytes + len(self.unparsed) + unread_bytes
+        return self.upload.body_length - arrived_bytes
 
     # Callbacks of the parser.
 
@@ -528,7 +542,7 @@
         request = self.enqueue_request()
         if not isinstance(request, ClientRequest):
             raise BadRequestError(413, "this has no body of such a size")
-        self.streaming_request = request
+        self.streaming_request, self.body_arrival = request, BodyArrival()
         if self.body:
             self.upload.feed(bytes(self.body))
             self.body.clear()
--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -86,7 +86,7 @@
         """Hand a request to the pipeline."""
         client.request_id = self.pipeline.next_request_id()
         upload = request.message.upload
-        complete = upload is None or upload.complete
+        complete = upload is None or upload.arrived
         incoming = IncomingRequest(
             class_index=request.class_index,
             tenant=request.tenant,
--- /dev/null
+++ b/badgercart/frontends/http/socket_input.py
@@ -0,0 +1,27 @@
+"""What a socket holds that the event loop has not read yet."""
+
+from __future__ import annotations
+
+import array
+import fcntl
+import select
+import termios
+
+DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def poll_socket(descriptor: int, events: int) -> bool:
+    """Return whether any of these poll events is set on a socket."""
+    poll = select.poll()
+    poll.register(descriptor, events)
+    return bool(poll.poll(0))
+
+
+def unread_bytes(descriptor: int) -> int | None:
+    """Return how many bytes wait to be read from a socket; None if the system does not tell."""
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(descriptor, termios.FIONREAD, count)
+    except OSError:
+        return None
+    return count[0]
--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -186,8 +186,8 @@
             return
         upload = attempt.request.upload
         assert upload is not None
-        if upload.complete:
-            # The client's time counts from here on, also while the server does not read.
+        if upload.arrived:
+            # The client's time counts from there on, also while the server does not read.
             self.pool.start_timeout(attempt)
         if self.write_paused or self.transport.is_closing():
             return
@@ -448,7 +448,7 @@
         self.attempts[attempt_request.request_id, attempt_request.attempt] = attempt
         server.open_attempts += 1
         upload = attempt_request.payload.upload
-        if upload is not None and not upload.complete:
+        if upload is not None and not upload.arrived:
             attempt.timeout_ms, attempt.deadline_ms = timeout_ms, math.inf
             upload.on_data = partial(self.on_upload_data, attempt)
             upload.on_abandoned = partial(self.abort_attempt, attempt, AttemptResult.CANCELLED)
@@ -531,16 +531,18 @@
     def on_upload_data(self, attempt: Attempt) -> None:
         """Note more of a streamed request whose connection is not established yet."""
         assert attempt.request.upload is not None
-        if attempt.request.upload.complete:
+        if attempt.request.upload.arrived:
             self.start_timeout(attempt)
 
     def start_timeout(self, attempt: Attempt) -> None:
-        """Start the timeout of an attempt, as its request is complete now."""
+        """Start the timeout of an attempt, as its request has arrived."""
+        assert attempt.request.upload is not None
         if attempt.timer is None and math.isinf(attempt.deadline_ms):
-            attempt.started_ms = now_ms()
+            now = now_ms()
+            attempt.started_ms = min(now, attempt.request.upload.arrived_ms)
             attempt.deadline_ms = attempt.started_ms + attempt.timeout_ms
             attempt.timer = self.loop.call_later(
-                max(0.0, attempt.timeout_ms) / 1000, self.on_timeout, attempt
+                max(0.0, attempt.deadline_ms - now) / 1000, self.on_timeout, attempt
             )
 
     def cancel_timers(self, attempt: Attempt) -> None:
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -14,6 +14,7 @@
 
 from badgercart.core.memory_budget import MAX_BUFFERED_MESSAGE_BYTES, MAX_STREAM_WINDOW_BYTES
 from badgercart.frontends.http import clients
+from badgercart.frontends.http.clients import ClientConnection
 from badgercart.policy.events import AttemptEnded, AttemptResult, RequestCompleted
 from badgercart.upstream import connection_pool
 from badgercart.upstream.attempts import AttemptPhase
@@ -196,3 +197,63 @@
             assert in_flight.request.deadline_ms == deadline_ms
 
     run(test())
+
+
+@pytest.mark.parametrize("form", ["length", "chunks"])
+def test_the_time_of_a_request_whose_end_is_unread_passes_while_its_server_reads_nothing(
+    monkeypatch: pytest.MonkeyPatch, form: str
+) -> None:
+    # Guards against a request that is answered seconds late: its last byte had arrived on the
+    # node's machine, but its time started only once the node had read it.
+    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, client):
+            # More than the node reads while its server reads nothing.
+            body = bytes(2 * MAX_STREAM_WINDOW_BYTES + BLOCKING_BYTES)
+            client.writer.write(
+                await send_until_blocked(stand, client, long_request(form, "300m", body))
+            )
+            (connection,) = stand.node.listener.connections
+            assert (await client.answer())[0] == 503
+            assert connection.machine.headers.body_bytes < len(body)
+            outcome = await body_consuming_attempt(stand)
+            assert outcome.result is AttemptResult.UNREACHABLE
+            assert not server.received.done()
+
+    run(test())
+
+
+def test_a_request_that_has_not_arrived_keeps_its_time_while_its_server_reads_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    checks = 0
+    note_body_arrival = ClientConnection.note_body_arrival
+
+    def counted(self: ClientConnection) -> None:
+        nonlocal checks
+        checks += 1
+        note_body_arrival(self)
+
+    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(ClientConnection, "note_body_arrival", counted)
+    body = bytes(2 * MAX_STREAM_WINDOW_BYTES + BLOCKING_BYTES)
+
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, client):
+            rest = await send_until_blocked(stand, client, long_request("length", "5000m", body))
+            client.writer.write(rest[:-1])
+            async with asyncio.timeout(WAIT_S):
+                while checks < 10:
+                    await asyncio.sleep(0.001)
+            (attempt,) = stand.node.pool.attempts.values()
+            assert attempt.timer is None
+            client.writer.write(rest[-1:])
+            await stand.event(RequestCompleted)
+            assert attempt.timer is not None
+            deadline_ms = attempt.deadline_ms
+            server.read_on.set()
+            assert (await client.answer())[0] == 200
+            assert attempt.deadline_ms == deadline_ms and server.received.result() == body
+
+    run(test())
