--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -4,330 +4,45 @@
 
 import asyncio
 import math
-import select
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
-from typing import Protocol, cast
+from typing import Protocol
 
-from badgercart.config import Address
-from badgercart.core import read_buffer
 from badgercart.core.clock import now_ms
 from badgercart.core.endpoint_table import DiscoveredEndpoint
 from badgercart.core.memory_budget import MemoryBudget, budget_bytes
 from badgercart.core.ports import AttemptRequest, UpstreamResponse
-from badgercart.core.results import attempt_result
 from badgercart.core.streams import ResponseHeaderSection, ResponseSink, do_nothing
 from badgercart.policy.endpoint import EndpointState
 from badgercart.policy.events import AttemptResult
 from badgercart.upstream.attempts import (
-    CONNECTION_LOST_RESULTS,
     TIMEOUT_RESULTS,
     AttemptPhase,
     IdleTimeout,
     check_result,
     result_if_blocked,
 )
-from badgercart.upstream.exchange import (
-    CompleteResponse,
-    Exchange,
-    ExchangeResult,
-    MalformedResponse,
-    UpstreamRequest,
-)
 from badgercart.upstream.log_events import (
-    MALFORMED_ANSWER,
     NO_DESCRIPTORS,
     REPEAT_TOO_LATE,
     UPLOAD_TIMED_OUT,
 )
+from badgercart.upstream.server_connection import Attempt, Server, ServerConnection
 
 # An iteration of the event loop, between an attempt's deadline and its end.
 FINAL_READ_DELAY_S = 0.001
 # The interval of the scan for stalled and idle connections.
 SCAN_INTERVAL_S = 1.0
 # The pause of a connection between a response and the next request. A second response may follow
-# the first by some ms (1.2 to 3.5 ms have been seen), and would be taken for the next request's:
-# responses do not say which request they belong to.
+# the first by some ms, and would be taken for the next request's: responses do not say which
+# request they belong to.
 REUSE_DELAY_MS = 10.0
-# How long a response of unknown length is buffered after its first byte.
-MAX_BUFFERING_S = 0.1
 # A streamed attempt is aborted when the server sends or reads nothing for this time.
 SERVER_STALL_TIMEOUT_MS = 10_000.0
 # A streamed response is aborted when its client makes no space for this time.
 CLIENT_STALL_TIMEOUT_MS = 30_000.0
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One open attempt."""
-
-    request_id: int
-    number: int
-    server: Server
-    server_version: int  # of the server's entry when the attempt was decided
-    request: UpstreamRequest
-    started_ms: float
-    deadline_ms: float
-    phase: AttemptPhase = AttemptPhase.CONNECTING
-    past_deadline: bool = False
-    timeout_ms: float = 0.0  # where it counts from when the request is complete
-    timer: asyncio.TimerHandle | None = None
-    # Starts to stream the response, at the latest.
-    streaming_timer: asyncio.TimerHandle | None = None
-    connect_task: asyncio.Task[None] | None = None
-    connection: ServerConnection | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """A server at its address.
-
-    The version counts changes after which older connections are not used any more.
-    """
-
-    id: int
-    address: Address
-    state: EndpointState
-    started_ms: float
-    version: int = 0
-    open_attempts: int = 0
-    # The most recently used connection is the last.
-    idle_connections: list[ServerConnection] = field(default_factory=list)
-
-    @property
-    def endpoint(self) -> str:
-        """The address as host:port."""
-        return f"{self.address[0]}:{self.address[1]}"
-
-
-class ServerConnection(asyncio.BufferedProtocol):
-    """A connection to a server, which carries one attempt at a time."""
-
-    transport: asyncio.Transport
-
-    def __init__(self, pool: ServerPool, server: Server) -> None:
-        self.pool = pool
-        self.server = server
-        self.version = server.version
-        self.exchange = Exchange()
-        self.attempt: Attempt | None = None
-        self.idle_since_ms = 0.0
-        self.idle_ms = 0.0  # how long it was idle before the attempt
-        self.buffered_bytes = 0  # of a response, as counted in the memory budget
-        self.sink: ResponseSink | None = None  # the destination of a streamed response
-        self.write_paused = self.read_paused = False
-        self.last_progress_ms = 0.0  # when a part of a streamed body was last forwarded
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set up the connection for its transport."""
-        # Not isinstance: uvloop's transports do not derive from asyncio's. They come with
-        # TCP_NODELAY set.
-        self.transport = cast(asyncio.Transport, transport)
-        self.socket_poll = select.poll()
-        self.socket_poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the attempt on the connection, if there is one."""
-        self.exchange.close()
-        self.exchange.release_parser()
-        self.pool.connections.discard(self)
-        if self in self.server.idle_connections:
-            self.server.idle_connections.remove(self)
-        if (attempt := self.attempt) is not None:
-            # Once the request has been written to the transport, bytes in its buffer don't prove
-            # that the server did not receive it: the attempt may have been executed.
-            self.pool.idle_timeout.record_reuse(self.idle_ms, self.exchange.response_bytes > 0)
-            self.detach_attempt(complete=False)
-            self.pool.finish_attempt(attempt, CONNECTION_LOST_RESULTS[attempt.phase])
-
-    def is_quiet(self) -> bool:
-        """Return whether the connection is open and nothing unread is in its socket.
-
-        Unread bytes would be taken for the next response. What followed the last response, or a
-        close, may not have been read by the event loop yet.
-        """
-        return not self.transport.is_closing() and not self.socket_poll.poll(0)
-
-    def start_attempt(self, attempt: Attempt) -> None:
-        """Write the request of an attempt, or start to stream it."""
-        self.attempt = attempt
-        self.idle_ms = attempt.started_ms - self.idle_since_ms if self.idle_since_ms else 0.0
-        attempt.connection = self
-        request = attempt.request
-        attempt.phase = (
-            AttemptPhase.SENT if request.upload is None else AttemptPhase.STREAMING_REQUEST
-        )
-        self.exchange.message_limit_bytes = self.pool.message_limit_bytes
-        remaining_ms = attempt.deadline_ms - now_ms()
-        self.transport.write(
-            self.exchange.start_request(
-                request, remaining_ms if math.isfinite(remaining_ms) else attempt.timeout_ms
-            )
-        )
-        if request.upload is not None:
-            self.last_progress_ms = now_ms()
-            self.transport.set_write_buffer_limits(high=self.pool.memory_budget.stream_window_bytes)
-            request.upload.on_data = self.forward_upload
-            self.forward_upload()
-
-    def request_sent(self) -> bool:
-        """Return whether the whole request on the connection has left this process."""
-        if self.attempt is not None and self.attempt.phase is AttemptPhase.SENT:
-            return self.transport.is_closing() or not self.transport.get_write_buffer_size()
-        return self.attempt is None or self.attempt.phase is not AttemptPhase.STREAMING_REQUEST
-
-    # Streamed requests and responses.
-
-    def forward_upload(self) -> None:
-        """Write what has been received of a streamed request."""
-        attempt = self.attempt
-        if attempt is None or attempt.phase is not AttemptPhase.STREAMING_REQUEST:
-            return
-        upload = attempt.request.upload
-        assert upload is not None
-        if upload.arrived:
-            # The client's time counts from there on, also while the server does not read.
-            self.pool.start_timeout(attempt)
-        if self.write_paused or self.transport.is_closing():
-            return
-        if data := self.exchange.read_upload():
-            self.last_progress_ms = now_ms()
-            self.transport.write(data)
-        if upload.exhausted:
-            attempt.phase = AttemptPhase.SENT
-            upload.on_data = do_nothing
-
-    def pause_writing(self) -> None:
-        """Stop forwarding a request, as the server does not read."""
-        self.write_paused = True
-
-    def resume_writing(self) -> None:
-        """Go on forwarding a request."""
-        self.write_paused, self.last_progress_ms = False, now_ms()
-        self.forward_upload()
-
-    def start_streaming(self) -> None:
-        """Start to stream the response."""
-        attempt, pool = self.attempt, self.pool
-        if (
-            attempt is None
-            or attempt.phase is AttemptPhase.STREAMING_REQUEST
-            or self.exchange.streaming
-        ):
-            return
-        attempt.phase = AttemptPhase.STREAMING_RESPONSE
-        pool.cancel_timers(attempt)
-        header_section, elapsed_ms = self.exchange.start_streaming(), now_ms() - attempt.started_ms
-        self.sink = pool.on_response_started(
-            attempt.request_id, attempt.number, self.server.id, elapsed_ms, header_section
-        )
-        if self.sink is None:  # the request is not in flight any more
-            pool.abort_attempt(attempt, AttemptResult.CANCELLED)
-            return
-        pool.memory_budget.stream_count += 1
-        self.sink.set_callbacks(self.on_space, self.on_abandoned)
-        self.forward_response()
-
-    def forward_response(self) -> None:
-        """Forward what has arrived of a streamed response."""
-        assert self.sink is not None
-        data = self.exchange.take_body()
-        if not data:
-            return
-        self.last_progress_ms = now_ms()
-        if not self.sink.write_body(data) and self.sink is not None and not self.read_paused:
-            self.read_paused = True
-            self.transport.pause_reading()
-
-    def on_space(self) -> None:
-        """Go on reading a response, as its client has space again."""
-        if self.read_paused and not self.transport.is_closing():
-            self.read_paused, self.last_progress_ms = False, now_ms()
-            self.transport.resume_reading()
-
-    def on_abandoned(self) -> None:
-        """Cancel the attempt, as the client has disconnected."""
-        self.sink = None
-        self.pool.memory_budget.stream_count -= 1
-        if self.attempt is not None:
-            self.pool.abort_attempt(self.attempt, AttemptResult.CANCELLED)
-
-    def detach_attempt(self, complete: bool) -> Attempt | None:
-        """Detach the attempt, which is over, and end its streamed response."""
-        attempt, self.attempt = self.attempt, None
-        if self.buffered_bytes:
-            self.set_buffered_bytes(0)
-        if (sink := self.sink) is not None:
-            self.sink = None
-            self.pool.memory_budget.stream_count -= 1
-            if complete:
-                sink.finish_body()
-            else:
-                sink.abort_body()
-        return attempt
-
-    def set_buffered_bytes(self, buffered_bytes: int) -> None:
-        """Set how much of a response is buffered, and count it in the memory budget."""
-        self.pool.memory_budget.buffered_bytes += buffered_bytes - self.buffered_bytes
-        self.buffered_bytes = buffered_bytes
-
-    # Callbacks of the transport.
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read."""
-        return read_buffer.get_read_buffer()
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Handle bytes from the server."""
-        result = self.exchange.receive(read_buffer.copy_read_bytes(nbytes))
-        if result is not None:
-            self.handle_result(result)
-        elif self.exchange.streaming:
-            self.forward_response()
-        elif self.exchange.must_stream:
-            self.start_streaming()
-        else:
-            self.set_buffered_bytes(len(self.exchange.body))
-            attempt = self.attempt
-            if attempt is not None and attempt.streaming_timer is None and self.exchange.can_stream:
-                attempt.streaming_timer = self.pool.loop.call_later(
-                    MAX_BUFFERING_S, self.start_streaming
-                )
-
-    def eof_received(self) -> None:
-        """Handle the end of the server's stream."""
-        if (result := self.exchange.receive_eof()) is not None:
-            self.handle_result(result)
-
-    def handle_result(self, result: ExchangeResult) -> None:
-        """End the attempt by the result of the exchange."""
-        if self.sink is not None and isinstance(result, CompleteResponse):
-            self.sink.write_body(result.response.body)
-        if self.read_paused and not self.transport.is_closing():
-            self.read_paused = False
-            self.transport.resume_reading()
-        attempt = self.detach_attempt(complete=isinstance(result, CompleteResponse))
-        if attempt is not None and isinstance(result, CompleteResponse):
-            self.pool.idle_timeout.record_reuse(self.idle_ms, True)
-            if result.reusable:
-                self.pool.keep_idle(self)
-            else:
-                self.transport.close()
-            response = result.response
-            self.pool.finish_attempt(
-                attempt, attempt_result(response.status, result.not_started), response
-            )
-        elif attempt is not None and isinstance(result, MalformedResponse):
-            self.transport.abort()
-            MALFORMED_ANSWER(
-                server=self.server.endpoint, request=attempt.request_id, why=result.reason
-            )
-            self.pool.finish_attempt(attempt, AttemptResult.ERROR)
-        else:  # unexpected data
-            self.transport.abort()
-
-
 class AttemptEndedCallback(Protocol):
     """Receives the end of an attempt, with the response where one arrived completely."""
 
@@ -456,18 +171,9 @@
             attempt.timer = self.loop.call_later(
                 max(0.0, timeout_ms) / 1000, self.on_timeout, attempt
             )
-        position = len(server.idle_connections)
-        while (
-            position and now - server.idle_connections[position - 1].idle_since_ms < REUSE_DELAY_MS
-        ):
-            position -= 1
-        while position:
-            position -= 1
-            connection = server.idle_connections.pop(position)
-            if self.is_reusable(connection):
-                self.begin_attempt(attempt, connection)
-                return
-            connection.transport.abort()
+        if (connection := self.take_reusable_connection(server, now)) is not None:
+            self.begin_attempt(attempt, connection)
+            return
         connecting = (
             self.send_after_reuse_delay(attempt, server.idle_connections.pop(0))
             if server.idle_connections
@@ -475,6 +181,20 @@
         )
         attempt.connect_task = self.loop.create_task(connecting)
 
+    def take_reusable_connection(self, server: Server, now: float) -> ServerConnection | None:
+        """Take the most recently used idle connection whose pause is over; close those that broke."""
+        connections = server.idle_connections
+        position = len(connections)
+        while position and now - connections[position - 1].idle_since_ms < REUSE_DELAY_MS:
+            position -= 1
+        while position:
+            position -= 1
+            connection = connections.pop(position)
+            if self.is_reusable(connection):
+                return connection
+            connection.transport.abort()
+        return None
+
     async def send_after_reuse_delay(self, attempt: Attempt, connection: ServerConnection) -> None:
         """Send on a connection that has just had a response, once its pause is over."""
         try:
--- a/tests/ends/test_disconnect_while_waiting.py
+++ b/tests/ends/test_disconnect_while_waiting.py
@@ -12,7 +12,8 @@
 
 from badgercart.policy.events import AttemptResult, RequestCancelled
 from badgercart.upstream.attempts import result_if_blocked
-from badgercart.upstream.connection_pool import Attempt, ServerPool
+from badgercart.upstream.connection_pool import ServerPool
+from badgercart.upstream.server_connection import Attempt
 from tests.net import CLASSES, WAIT_S, ScriptedServer, answer_after, config, request, run, running
 
 
--- a/tests/ends/test_event_orderings.py
+++ b/tests/ends/test_event_orderings.py
@@ -23,7 +23,7 @@
 from badgercart.policy.endpoint import Endpoint, EndpointState
 from badgercart.policy.events import SettingsChanged, UpdateKind
 from badgercart.policy.settings import DeduplicationScope, Idempotency, RequestClass, Settings
-from badgercart.upstream import connection_pool
+from badgercart.upstream import connection_pool, server_connection
 from badgercart.upstream.connection_pool import ServerPool
 from badgercart.upstream.exchange import UpstreamRequest
 from tests.ends.virtual import PendingConnection, ServerTransport, VirtualLoop
@@ -286,7 +286,8 @@
     steps = [(chance.randrange(len(STEPS) + 4), chance.randrange(10**6)) for _ in range(count)]
     with pytest.MonkeyPatch.context() as patch:
         loop = VirtualLoop()
-        patch.setattr(connection_pool, "now_ms", lambda: loop.now * 1000)
+        for module in (connection_pool, server_connection):
+            patch.setattr(module, "now_ms", lambda: loop.now * 1000)
         faults: list[dict[str, Any]] = []
         loop.set_exception_handler(lambda _, context: faults.append(context))
         try:
--- a/tests/ends/test_late_repeats.py
+++ b/tests/ends/test_late_repeats.py
@@ -16,8 +16,9 @@
 from badgercart.core.clock import MAX_HOLD_UP_MS, now_ms
 from badgercart.policy.events import AttemptResult
 from badgercart.policy.settings import DeduplicationScope, Settings
-from badgercart.upstream import connection_pool
-from badgercart.upstream.connection_pool import Attempt, ServerPool
+from badgercart.upstream import connection_pool, server_connection
+from badgercart.upstream.connection_pool import ServerPool
+from badgercart.upstream.server_connection import Attempt
 from tests.net import (
     CLASSES,
     OK,
@@ -81,7 +82,8 @@
         await connect(pool, attempt)
 
     monkeypatch.setattr(ServerPool, "connect", connect_late)
-    monkeypatch.setattr(connection_pool, "now_ms", lambda: now_ms() + late)
+    for module in (connection_pool, server_connection):
+        monkeypatch.setattr(module, "now_ms", lambda: now_ms() + late)
     await servers.start(2)
     async with running(
         *servers.peers, settings=settings(scope), zones={"a": 0, "b": 1}, attempts=2
--- a/tests/ends/test_no_attempt_after_disconnect.py
+++ b/tests/ends/test_no_attempt_after_disconnect.py
@@ -21,7 +21,8 @@
 from badgercart.policy.events import AttemptEnded, Event, Request, TimerFired
 from badgercart.policy.settings import Settings
 from badgercart.upstream import connection_pool
-from badgercart.upstream.connection_pool import ServerConnection, ServerPool
+from badgercart.upstream.connection_pool import ServerPool
+from badgercart.upstream.server_connection import ServerConnection
 from tests.net import (
     CLASSES,
     OK,
--- a/tests/ends/virtual.py
+++ b/tests/ends/virtual.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from badgercart.upstream.connection_pool import ServerConnection
+from badgercart.upstream.server_connection import ServerConnection
 
 
 class VirtualSelector(selectors.BaseSelector):
--- a/tests/net.py
+++ b/tests/net.py
@@ -22,8 +22,8 @@
 from badgercart.node import Node
 from badgercart.policy.events import AttemptEnded
 from badgercart.policy.settings import Idempotency, RequestClass, Settings
-from badgercart.upstream.connection_pool import ServerConnection
 from badgercart.upstream.exchange import UpstreamRequest
+from badgercart.upstream.server_connection import ServerConnection
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 CLASSES = {
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -15,7 +15,7 @@
 from badgercart.policy.actions import Send
 from badgercart.policy.events import AttemptResult, EndpointUpdate, Request
 from badgercart.upstream import connection_pool
-from badgercart.upstream.connection_pool import ServerConnection
+from badgercart.upstream.server_connection import ServerConnection
 from tests.net import (
     OK,
     WAIT_S,
