Read the bodies of the upload tests by the reader that stands already

tests/upstream/test_upload_timeouts.py had a reader of request bodies of its own, beside the one of tests/bulk/test_streams.py, which also ends after the usual limit and reads extensions and trailers.

--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -18,6 +18,7 @@
 from badgercart.policy.events import AttemptEnded, AttemptResult, RequestCompleted
 from badgercart.upstream import connection_pool
 from badgercart.upstream.attempts import AttemptPhase
+from tests.bulk.test_streams import read_body
 from tests.net import (
     OK,
     SMALL_BUFFER_BYTES,
@@ -25,7 +26,6 @@
     Client,
     NodeHarness,
     ScriptedServer,
-    field,
     limit_send_buffers,
     request,
     run,
@@ -39,18 +39,6 @@
 BODY = bytes(BLOCKING_BYTES + MAX_BUFFERED_MESSAGE_BYTES)
 
 
-async def read_body(reader: asyncio.StreamReader, head: bytes) -> bytes:
-    """Read a request's body, by its framing."""
-    if (length := field(head, b"Content-Length")) is not None:
-        return await reader.readexactly(int(length))
-    body = b""
-    while True:
-        size = int(await reader.readline(), 16)
-        body += (await reader.readexactly(size + 2))[:size]
-        if not size:
-            return body
-
-
 class HangingServer:
     """A server that reads a request's header section, sends `interim` and then hangs."""
 
