Keep the port of a stand-in that is down from all other listeners

Cause, by a trial of the system's choice of ports: 500 of 500 connections got an even local port, 500 of 500 listeners on port 0 an odd one, and 0 of 150,000 connections to a closed port reached themselves. So the port, an odd one, had gone to the listener of another test that ran beside.

Change: ReservedPort binds a port with a socket that doesn't listen. It stays as long as its owner. The same cause was in the dispatch server, the catalog and etcd as they restart, in tests that take a closed port as one where nobody listens, and in the ports that the tests and the bench of distribution chose for replicas; all use it now. In test_descriptors the agent starts late instead of closing first, so its checks are the same.

--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -12,7 +12,6 @@
 import argparse
 import asyncio
 import json
-import socket
 import sys
 import tempfile
 import time
@@ -42,6 +41,7 @@
 from lab.trial.processes import LogRecord, NodeError, NodeProcess
 from lab.trial.switch import Switch
 from standins.fleet import operators_file
+from standins.ports import ReservedPort
 
 LOCAL_HOST = "127.0.0.1"
 GROUP = "trial"
@@ -76,15 +76,6 @@
     listening_event = "distribution.listening"
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports. All sockets are open at the same time, so that the ports differ."""
-    sockets = [socket.create_server((LOCAL_HOST, 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def server_entry(number: int, state: str = "active") -> Entry:
     """Return the entry of a server in the list."""
     fields = {
@@ -105,9 +96,9 @@
 
     def __init__(self, folder: Path, nodes: int) -> None:
         self.folder, self.switch, self.codec = folder, Switch(), Codec(GROUP, SECRET.encode())
-        self.addresses = dict(
-            zip(REPLICAS, ((LOCAL_HOST, port) for port in free_ports(len(REPLICAS))), strict=True)
-        )
+        # Kept as long as the cluster, so that a replica finds its port free at each start.
+        self.ports = {name: ReservedPort(LOCAL_HOST) for name in REPLICAS}
+        self.addresses = {name: port.address for name, port in self.ports.items()}
         self.replicas = {name: ReplicaProcess(name, folder / f"{name}.toml") for name in REPLICAS}
         self.nodes = {
             f"node-{n}": NodeProcess(f"node-{n}", folder / f"node-{n}.toml") for n in range(nodes)
--- a/standins/catalog.py
+++ b/standins/catalog.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from standins import http1
+from standins.ports import ReservedPort
 
 # Interval of the empty lines that a watch gets, changes or not.
 HEARTBEAT_INTERVAL_S = 2.0
@@ -36,8 +37,9 @@
 
     async def start(self) -> Catalog:
         """Listen on a free port and start the heartbeat."""
-        self.server = await asyncio.start_server(self.serve, self.host, 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.reserved_port = ReservedPort(self.host)
+        self.port = self.reserved_port.number
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
         self.heartbeat_task = asyncio.get_running_loop().create_task(self.heartbeat())
         return self
 
--- a/standins/etcd.py
+++ b/standins/etcd.py
@@ -22,6 +22,7 @@
 from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
 
 from standins.etcd_store import Code, EtcdError, Store, compacted
+from standins.ports import ReservedPort
 
 # Interval of the periodic check for expired leases.
 EXPIRY_SCAN_INTERVAL_S = 0.05
@@ -101,7 +102,10 @@
     # Start and stop.
 
     async def start(self, port: int = 0, credentials: Any = None, host: str = "127.0.0.1") -> Etcd:
-        """Listen on `port`, or on the port of the last start, or on a free port."""
+        """Listen on `port`, or on the port of the last start, or on a free port.
+
+        A free port stays the server's own while it is stopped.
+        """
         self.server = grpc.aio.server(
             options=(
                 ("grpc.so_reuseport", 0),
@@ -120,6 +124,9 @@
             (rpc_pb2_grpc.add_MaintenanceServicer_to_server, Maintenance(self)),
         ):
             add_service(service, self.server)
+        if not port and not self.port:
+            self.reserved_port = ReservedPort(host)
+            port = self.reserved_port.number
         address = f"{host}:{port or self.port}"
         if credentials is None:
             self.port = self.server.add_insecure_port(address)
--- a/standins/server.py
+++ b/standins/server.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from standins import http1
+from standins.ports import ReservedPort
 
 # The latest requests that a server keeps a record of.
 MAX_RECORDED_REQUESTS = 200_000
@@ -106,9 +107,15 @@
         }
 
     async def start(self, port: int = 0) -> DispatchServer:
-        """Listen on `port`, or on a free port where it is 0."""
+        """Listen on `port`, or on a free port where it is 0.
+
+        A free port stays the server's own while it is stopped.
+        """
+        if not port:
+            self.reserved_port = ReservedPort(self.host)
+            port = self.reserved_port.number
         self.server = await asyncio.start_server(self.serve, self.host, port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = port
         return self
 
     def stop(self) -> None:
--- a/tests/bulk/test_streams.py
+++ b/tests/bulk/test_streams.py
@@ -17,6 +17,7 @@
 from badgercart.policy.events import AttemptEnded, AttemptResult, RequestCompleted, ResponseStarted
 from badgercart.policy.settings import Settings
 from badgercart.upstream import connection_pool
+from standins.ports import ReservedPort
 from tests.net import (
     WAIT_S,
     Client,
@@ -47,6 +48,8 @@
         self.connections: asyncio.Queue[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = (
             asyncio.Queue()
         )
+        self.reserved_port = ReservedPort()
+        self.port = self.reserved_port.number
 
     async def start(self) -> ManualServer:
         """Listen on a free port."""
@@ -54,8 +57,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.connections.put_nowait((reader, writer))
 
-        self.server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(serve, *self.reserved_port.address)
         return self
 
     entry = ScriptedServer.entry
--- a/tests/distribution/test_component.py
+++ b/tests/distribution/test_component.py
@@ -32,7 +32,7 @@
 from badgercart.distribution.settings import FollowerSettings, ReplicaEntry, ReplicaSettings
 from badgercart.frontends.http.component import HttpSettings
 from badgercart.metrics.component import MetricsSettings
-from tests.distribution.test_driver import free_ports
+from standins.ports import ReservedPort
 from tests.net import WAIT_S, Client, ScriptedServer, config, request, run
 
 ROOT = Path(__file__).parent.parent.parent
@@ -434,12 +434,12 @@
     tmp_path: Path,
 ) -> None:
     async def test() -> None:
-        (port,) = free_ports(1)
+        port = ReservedPort()
         parts = {
             "http": HttpSettings(listen=("127.0.0.1", 0)),
             "metrics": MetricsSettings(listen=("127.0.0.1", 0)),
-            "distribution": node_settings(("127.0.0.1", port)),
-            "distribution-store": store_settings(Path("store"), port),
+            "distribution": node_settings(port.address),
+            "distribution-store": store_settings(Path("store"), port.number),
         }
         installation = Installation(config(1), parts, folder=str(tmp_path))
         application = Application(installation, asyncio.get_running_loop())
@@ -455,7 +455,7 @@
         assert (
             result["topics"] == {TOPIC: 1} and result["state"] == "fresh" and result["changes"] == 1
         )
-        assert result["store"] == f"127.0.0.1:{port}" and result["age_ms"] < 600
+        assert result["store"] == f"127.0.0.1:{port.number}" and result["age_ms"] < 600
         meters = application.host.metrics.metrics
         figures = {name: meter.values() for name, meter in meters.items() if "distribution" in name}
         assert figures["badgercart_distribution_number"] == {TOPIC: 1.0}
@@ -481,9 +481,10 @@
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     async def test() -> None:
+        unreachable = ReservedPort()
         async with running_store(tmp_path / "s") as store:
             path, entries_file = (
-                node_file(tmp_path, ("127.0.0.1", free_ports(1)[0]), store.listen),
+                node_file(tmp_path, unreachable.address, store.listen),
                 tmp_path / "l.json",
             )
             status, _, err = await run_command(capsys, "get", path, TOPIC)
@@ -727,13 +728,13 @@
         return process
 
     async def test() -> None:
-        (port,) = free_ports(1)
+        port = ReservedPort()
         path, entries_file = tmp_path / "store.toml", tmp_path / "l.json"
-        path.write_text(STORE_FILE.format(port=port))
+        path.write_text(STORE_FILE.format(port=port.number))
         entries_file.write_text(json.dumps([server_entry("a")]))
         process = await launch(path)
         async with running_node(
-            ("127.0.0.1", port), stale_after_ms=60_000.0, doubtful_after_ms=30_000.0
+            port.address, stale_after_ms=60_000.0, doubtful_after_ms=30_000.0
         ) as node:
             assert (
                 await run_command(capsys, "put", str(path), TOPIC, "--file", str(entries_file))
@@ -788,7 +789,8 @@
 
 def test_an_unknown_age_is_null_on_the_page(tmp_path: Path) -> None:
     async def test() -> None:
-        async with running_node(("127.0.0.1", free_ports(1)[0])) as node:
+        unreachable = ReservedPort()
+        async with running_node(unreachable.address) as node:
             _, body = await node.get(b"GET /_distribution HTTP/1.1\r\nHost: x\r\n\r\n")
             result = json.loads(body)
             assert (
--- a/tests/distribution/test_driver.py
+++ b/tests/distribution/test_driver.py
@@ -48,6 +48,7 @@
 from badgercart.distribution.replica_driver import ReplicaAddresses, ReplicaDriver
 from badgercart.distribution.replica_selector import FollowerTiming, ReplicaSelector
 from badgercart.distribution.topic import Topic
+from standins.ports import ReservedPort
 from tests.distribution.support import subscribe
 from tests.net import WAIT_S, run
 
@@ -75,16 +76,6 @@
             await asyncio.sleep(0.002)
 
 
-def free_ports(count: int) -> list[int]:
-    import socket
-
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 async def start_replica(
     folder: Path,
     name: str = "s1",
@@ -276,8 +267,9 @@
         self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> ScriptedReplica:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address: Address = self.server.sockets[0].getsockname()[:2]
+        self.reserved_port = ReservedPort()
+        self.address: Address = self.reserved_port.address
+        self.server = await asyncio.start_server(self.serve, *self.address)
         return self
 
     def send(self, writer: asyncio.StreamWriter, message: Message | bytes) -> None:
@@ -515,9 +507,8 @@
 
 def test_three_replicas_on_sockets_survive_the_loss_of_their_leader(tmp_path: Path) -> None:
     async def test() -> None:
-        addresses: dict[str, Address] = {
-            f"s{i}": ("127.0.0.1", port) for i, port in enumerate(free_ports(3), 1)
-        }
+        ports = [ReservedPort() for _ in range(3)]
+        addresses: dict[str, Address] = {f"s{i}": port.address for i, port in enumerate(ports, 1)}
         stores = {name: await start_replica(tmp_path, name, addresses) for name in addresses}
 
         def leader() -> ReplicaDriver | None:
--- a/tests/ends/test_descriptors.py
+++ b/tests/ends/test_descriptors.py
@@ -61,9 +61,7 @@
         peers = [await ScriptedServer().start() for _ in range(2)]
         entries = [peer.entry(f"s-{i}") for i, peer in enumerate(peers, 1)]
         agent, moved = DiscoveryAgent(entries), DiscoveryAgent([entries[1]], 7)
-        await agent.start()
-        await moved.start()
-        agent.server.close()  # discovery is down
+        await moved.start()  # discovery is down at its first address
         path = tmp_path / "config.json"
         raw = raw_config() | {
             "discovery": f"127.0.0.1:{agent.port}",
@@ -107,7 +105,7 @@
                 "instances": [peers[0].entry("s-1", "leaving")],
             }
             agent.whole["instances"].append(entries[1])  # type: ignore[attr-defined]
-            agent.server = await asyncio.start_server(agent.serve, "127.0.0.1", agent.port)
+            await agent.start()
             await asyncio.wait_for(agent.calls.get(), WAIT_S)
             agent.push(2, agent.whole["instances"])  # type: ignore[arg-type]
             await node.line("list 2")
--- a/tests/net.py
+++ b/tests/net.py
@@ -24,6 +24,7 @@
 from badgercart.policy.settings import Idempotency, RequestClass, Settings
 from badgercart.upstream.exchange import UpstreamRequest
 from badgercart.upstream.server_connection import ServerConnection
+from standins.ports import ReservedPort
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 CLASSES = {
@@ -102,13 +103,14 @@
 
     def __init__(self, script: Script = answer_ok) -> None:
         self.script = script
+        self.reserved_port = ReservedPort()
+        self.port = self.reserved_port.number
         self.requests: asyncio.Queue[bytes] = asyncio.Queue()
         self.ended: asyncio.Queue[int] = asyncio.Queue()
         self.connections = 0
 
     async def start(self) -> ScriptedServer:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, *self.reserved_port.address)
         return self
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -144,18 +146,19 @@
     """The discovery service. It sends the items of `lines` on the watch; None ends the watch.
 
     It puts the target of each call into `calls`, and an item into `ended` for each connection that
-    ends.
+    ends. Before `start` and after its server is closed, its port refuses connections.
     """
 
     def __init__(self, instances: list[dict[str, Any]], generation: int = 1) -> None:
         self.whole = {"generation": generation, "reset": True, "instances": instances}
+        self.reserved_port = ReservedPort()
+        self.port = self.reserved_port.number
         self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.calls: asyncio.Queue[str] = asyncio.Queue()
         self.ended: asyncio.Queue[int] = asyncio.Queue()
 
     async def start(self) -> DiscoveryAgent:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port: int = self.server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, *self.reserved_port.address)
         return self
 
     def push(self, generation: int, instances: list[dict[str, Any]], reset: bool = False) -> None:
