Accept clients at a start with a cached list once the agent has responded

All lists that the agent has count as told from the first moment of a new process.

Change: the listener opens with the agent's first list or heartbeat, or after 0.8 of the grace of drains, for an agent that is silent. A malformed answer doesn't open it. Without a cached list, and with a service that is polled, nothing changes. Clients wait in the backlog of the socket meanwhile. The harness of the tests waits until the node accepts clients.

--- a/badgercart/discovery/catalog.py
+++ b/badgercart/discovery/catalog.py
@@ -123,6 +123,8 @@
         self.address = address
         self.local = (source, 0) if source else None
         self.on_list = on_list
+        # Called after each list or heartbeat: the list is up to date then.
+        self.on_received: Callable[[], None] = lambda: None
         self.retry_state = RetryState(rng)
         # Version of the list in force; None: a snapshot must be fetched.
         self.version: int | None = None
@@ -244,6 +246,7 @@
         """Keep the call that received a complete list or heartbeat, and close those beside it."""
         self.retry_state.list_received()
         self.failing = False
+        self.on_received()
         if call.first_received_at_s == math.inf:
             call.first_received_at_s, self.next_call_at_s = (
                 asyncio.get_running_loop().time(),
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -150,8 +150,9 @@
 
     def open(self) -> None:
         """Accept connections from now on."""
-        self.opened = True
-        self.resume_accepting()
+        if not self.opened:
+            self.opened = True
+            self.resume_accepting()
 
     def set_max_connections(self, limit: int) -> None:
         """Change the connection limit, and close idle connections above it."""
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -33,6 +33,9 @@
 # A process that replaces another waits this long for discovery; then it serves with the endpoint
 # list that it has.
 DISCOVERY_WAIT_S = 2.5
+# A process that starts with a cached list waits for this part of the grace of draining endpoints,
+# as long as a call that hangs and the next one take (`CallTiming.for_local_agent`).
+AGENT_WAIT_SHARE = 0.8
 # After this time a process has learned enough for its state to be worth keeping.
 STATE_TRANSFER_DELAY_S = 2.0
 # SIGKILL follows SIGTERM after the longest deadline and 0.7 s at the earliest, but a deadline
@@ -83,6 +86,7 @@
             random.Random(config.seed),
             timing=self.polling_pace(config),
         )
+        self.discovery.on_received = self.listener.open
         if config.known.get("instances"):
             try:
                 self.discovery.version = self.apply_endpoint_list(config.known, UpdateKind.CACHED)
@@ -94,17 +98,14 @@
 
         Raises ValueError, without any change, if an entry of it is invalid.
         """
-        version = self.endpoint_table.accept(raw, kind)
-        if kind is None:
-            self.listener.open()
-        return version
+        return self.endpoint_table.accept(raw, kind)
 
     async def start(self) -> None:
         """Start all parts. Raises OSError if an address can't be used."""
-        successor = self.process_lock is not None and not self.process_lock.is_alone
-        self.frontend.start(self.inherited, opened=not successor)
-        if successor:
-            self.loop.call_later(DISCOVERY_WAIT_S, self.listener.open)
+        wait_s = self.discovery_wait_s()
+        self.frontend.start(self.inherited, opened=wait_s == 0.0)
+        if wait_s > 0.0:
+            self.loop.call_later(wait_s, self.listener.open)
         self.discovery.start()
         if self.ejections is not None:
             self.ejections.start()
@@ -122,6 +123,18 @@
         if self.admin_listener is not None:
             await self.admin_listener.start()
 
+    def discovery_wait_s(self) -> float:
+        """Return how long clients wait at most for discovery's first response.
+
+        An agent of this node may have known for long which endpoints of a cached list drain: no
+        request is sent by such a list while the agent may still respond in time.
+        """
+        if self.process_lock is not None and not self.process_lock.is_alone:
+            return DISCOVERY_WAIT_S
+        if self.config.settings.polls_endpoints or not self.endpoint_table.has_update:
+            return 0.0
+        return AGENT_WAIT_SHARE * self.config.drain_grace / 1000
+
     @staticmethod
     def polling_pace(config: Config) -> CallTiming:
         """Return how often discovery is called.
--- a/tests/net.py
+++ b/tests/net.py
@@ -377,15 +377,23 @@
 
 @asynccontextmanager
 async def running(
-    *peers: ScriptedServer, agent: DiscoveryAgent | None = None, **changes: Any
+    *peers: ScriptedServer,
+    agent: DiscoveryAgent | None = None,
+    until_open: bool = True,
+    **changes: Any,
 ) -> AsyncIterator[NodeHarness]:
-    """Run a node that knows these servers as s-1, s-2 and so on."""
+    """Run a node that knows these servers as s-1, s-2 and so on.
+
+    With `until_open`, it accepts clients from the start of the block on.
+    """
     entries = [peer.entry(f"s-{i}") for i, peer in enumerate(peers, 1)]
     agent = agent or await DiscoveryAgent(entries).start()
     known = {"generation": 1, "reset": True, "instances": entries}
     node = Node(config(agent.port, **{"known": known} | changes), asyncio.get_running_loop())
     stand = NodeHarness(node, agent)
     await node.start()
+    while until_open and not node.listener.opened:
+        await asyncio.sleep(0.001)
     try:
         yield stand
     finally:
