Free a client's connection and its streamed body as the client ends

What callers saw: with clients that stop half way through a long body and come again, the process passed its limit of 64 MB within 4 s and went on to 88; the account said 13 MB all the while.

Cause: an ended connection was freed by the cyclic collector alone. RequestHeaders.upload -> Upload -> on_space (a lambda over the state machine) and window_bytes (a method of the ClientConnection) -> ConnectionStateMachine -> headers. connection_lost gave the charge back and left the headers, the body and these callbacks. gc.freeze and the rule of a quarter put the oldest generation off for many seconds.

Evidence: a node with the collector switched off, 700 clients with half bodies for 6 s, then gc.DEBUG_SAVEALL: 36,703 objects, among them 2,159 ClientConnection, ConnectionStateMachine, Upload and TCPTransport each; the referrers are those above.

Change: the end of a client resets the request that is being received, and Upload.abandon and .finish drop the callbacks into their producer and the buffered bytes, since one side ends there.

Measured: with gc off in tests/pressure/test_release.py, the cases of streamed bodies (7 of 14) failed before and hold now.

--- a/badgercart/core/streams.py
+++ b/badgercart/core/streams.py
@@ -50,6 +50,11 @@
     """Stand in for a callback that is not set."""
 
 
+def no_window() -> int:
+    """Return that nothing more may be buffered, for a body whose producer has ended."""
+    return 0
+
+
 class Upload:
     """The body of a request that is streamed. It can be read once.
 
@@ -90,6 +95,7 @@
     def finish(self) -> None:
         """Mark the body as complete."""
         self.complete = True
+        self._release_producer()
         self.on_data()
 
     def mark_arrived(self, arrived_ms: float) -> None:
@@ -98,8 +104,15 @@
         self.on_data()
 
     def abandon(self) -> None:
-        """Report that the rest of the body never arrives."""
+        """Report that the rest of the body never arrives, and free what has."""
         self.on_abandoned()
+        self.buffer.clear()
+        self.on_data = self.on_abandoned = do_nothing
+        self._release_producer()
+
+    def _release_producer(self) -> None:
+        """Drop the callbacks into the producer, which refers to this object in its turn."""
+        self.on_space, self.window_bytes = do_nothing, no_window
 
     # For the consumer, the upstream transport.
 
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -338,7 +338,7 @@
         """Stop reading, and drop the current request and the pending ones."""
         self.now_s = now_s
         self.input_ended = True
-        self.upload = self.streaming_request = None
+        self.reset_request()
         self.drop_pending()
         self.release_name(self.request)
         self.request = None
