Keep nothing of a request or an answer at a server's connection once it is over

By reading: what idle connections hold was in no account either.

Cause: three owners that outlived what they owned. - Exchange kept the body of the last answer (64 kB at most) and the last request's Upload, with its callbacks into the client, until the next request; the charge of both had been given back. - Attempt kept its request, with a body of up to 64 kB, until the server answered, though it can't be written again; where attempts are not cancelled that outlives the client, whose charge ends with it. - A connection whose connect is cancelled just as it is established gets no connection_lost from uvloop: protocol and transport referred to each other. A shortage kept in establish() referred to its own frame.

Change: complete_response and close free the messages, an attempt gives its request up as it is written, and give_up drops the transport of a connection that was never used.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -185,12 +185,13 @@
             server,
             server.version,
             attempt_request.payload,
+            attempt_request.payload.upload,
             now,
             now + timeout_ms,
         )
         self.attempts[attempt_request.request_id, attempt_request.attempt] = attempt
         server.open_attempts += 1
-        upload = attempt_request.payload.upload
+        upload = attempt.upload
         if upload is not None and not upload.arrived:
             attempt.timeout_ms, attempt.deadline_ms = timeout_ms, math.inf
             upload.on_data = partial(self.on_upload_data, attempt)
@@ -278,16 +279,16 @@
 
     def on_upload_data(self, attempt: Attempt) -> None:
         """Note more of a streamed request whose connection is not established yet."""
-        assert attempt.request.upload is not None
-        if attempt.request.upload.arrived:
+        assert attempt.upload is not None
+        if attempt.upload.arrived:
             self.start_timeout(attempt)
 
     def start_timeout(self, attempt: Attempt) -> None:
         """Start the timeout of an attempt, as its request has arrived."""
-        assert attempt.request.upload is not None
+        assert attempt.upload is not None
         if attempt.timer is None and math.isinf(attempt.deadline_ms):
             now = now_ms()
-            attempt.started_ms = min(now, attempt.request.upload.arrived_ms)
+            attempt.started_ms = min(now, attempt.upload.arrived_ms)
             attempt.deadline_ms = attempt.started_ms + attempt.timeout_ms
             attempt.timer = self.loop.call_later(
                 max(0.0, attempt.deadline_ms - now) / 1000, self.on_timeout, attempt
@@ -312,16 +313,16 @@
         try:
             await self.establish(connection)
         except LocalShortageError as error:
-            connection.exchange.release_parser()
+            connection.give_up()
             CONNECT_FAILED(server=server.endpoint, request=attempt.request_id, error=error)
             self.finish_attempt(attempt, AttemptResult.NOT_SENT)
             return
         except (OSError, UnicodeError):  # no connection in time, or an invalid address
-            connection.exchange.release_parser()
+            connection.give_up()
             self.finish_attempt(attempt, AttemptResult.UNREACHABLE)
             return
         except asyncio.CancelledError:
-            connection.exchange.release_parser()
+            connection.give_up()
             raise
         else:
             # Counted here, not in connection_made: uvloop closes a connection whose task is
@@ -362,6 +363,8 @@
             if shortage is not None:
                 raise LocalShortageError(shortage.errno, shortage.strerror) from None
             raise
+        finally:
+            shortage = None  # it refers to this frame, by its traceback
 
     @property
     def is_full(self) -> bool:
@@ -541,7 +544,7 @@
         attempt.server.open_attempts -= 1
         self.remove_if_gone(attempt.server)
         elapsed_ms = now_ms() - attempt.started_ms
-        upload = attempt.request.upload
+        upload, attempt.request = attempt.upload, None
         body_consumed = upload is not None and upload.consumed
         if upload is not None:
             upload.on_data = upload.on_abandoned = do_nothing
--- a/badgercart/upstream/exchange.py
+++ b/badgercart/upstream/exchange.py
@@ -201,6 +201,7 @@
         # The rest of the request's body would be taken for the next request.
         reusable = reusable and (self.upload is None or self.upload.exhausted)
         self.state = ExchangeState.IDLE if reusable else ExchangeState.CLOSED
+        self.release_messages()
         return CompleteResponse(response, self.not_started, reusable)
 
     @property
@@ -264,6 +265,12 @@
     def close(self) -> None:
         """Note that the connection is lost or can't be used any more. This is idempotent."""
         self.state = ExchangeState.CLOSED  # legal from any state
+        self.release_messages()
+
+    def release_messages(self) -> None:
+        """Free the buffered response and the request's body: the connection may be idle long."""
+        self.body = bytearray()
+        self.upload = None
 
     def release_parser(self) -> None:
         """Drop the parser, so that neither waits for the cyclic garbage collector."""
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -13,7 +13,7 @@
 from badgercart.core.clock import now_ms
 from badgercart.core.memory_budget import MIN_READ_BYTES, MemoryCharge
 from badgercart.core.results import attempt_result
-from badgercart.core.streams import ResponseSink, do_nothing
+from badgercart.core.streams import ResponseSink, Upload, do_nothing
 from badgercart.policy.endpoint import EndpointState
 from badgercart.policy.events import AttemptResult
 from badgercart.upstream.attempts import CONNECTION_LOST_RESULTS, AttemptPhase
@@ -43,7 +43,8 @@
     number: int
     server: Server
     server_version: int  # of the server's entry when the attempt was decided
-    request: UpstreamRequest
+    request: UpstreamRequest | None  # None once it has been written, so that it is freed
+    upload: Upload | None  # its body, where that is streamed
     started_ms: float
     deadline_ms: float
     phase: AttemptPhase = AttemptPhase.CONNECTING
@@ -120,6 +121,11 @@
             self.detach_attempt(complete=False)
             self.pool.finish_attempt(attempt, CONNECTION_LOST_RESULTS[attempt.phase])
 
+    def give_up(self) -> None:
+        """Free a connection that was not established; its transport may refer to it."""
+        self.exchange.release_parser()
+        self.transport = cast(asyncio.Transport, None)
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing unread is in its socket.
 
@@ -133,7 +139,8 @@
         self.attempt = attempt
         self.idle_ms = attempt.started_ms - self.idle_since_ms if self.idle_since_ms else 0.0
         attempt.connection = self
-        request = attempt.request
+        request, attempt.request = attempt.request, None
+        assert request is not None
         attempt.phase = (
             AttemptPhase.SENT if request.upload is None else AttemptPhase.STREAMING_REQUEST
         )
@@ -162,7 +169,7 @@
         attempt = self.attempt
         if attempt is None or attempt.phase is not AttemptPhase.STREAMING_REQUEST:
             return
-        upload = attempt.request.upload
+        upload = attempt.upload
         assert upload is not None
         if upload.arrived:
             # The client's time counts from there on, also while the server does not read.
--- a/tests/pressure/test_release.py
+++ b/tests/pressure/test_release.py
@@ -142,3 +142,54 @@
                 await until_freed(made)
 
     run(test())
+
+
+def test_an_idle_connection_to_a_server_keeps_nothing_of_its_last_request() -> None:
+    body = b"x" * 50_000
+    served = answer(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    async def test() -> None:
+        async with running(await ScriptedServer(served).start()) as stand:
+            client = await stand.client()
+            assert (await client.ask(request("book", body=body)))[2] == body
+            (server,) = stand.node.pool.servers.values()
+            (connection,) = server.idle_connections
+            kept = gc.get_referents(connection.exchange)
+            assert not any(isinstance(item, Upload) for item in kept)
+            assert sum(len(item) for item in kept if isinstance(item, bytes | bytearray)) < 1000
+
+    run(test())
+
+
+def test_an_attempt_keeps_no_body_that_has_been_written() -> None:
+    async def test() -> None:
+        async with running(await ScriptedServer(stay_silent).start()) as stand:
+            client = await stand.client()
+            client.writer.write(request("book", body=bytes(50_000)))
+            async with asyncio.timeout(WAIT_S):
+                while not any(attempt.connection for attempt in stand.node.pool.attempts.values()):
+                    await asyncio.sleep(0.001)
+            (attempt,) = stand.node.pool.attempts.values()
+            assert attempt.request is None
+
+    run(test())
+
+
+def test_a_connection_given_up_while_it_is_made_is_freed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with running(await ScriptedServer(stay_silent).start()) as stand:
+            with tracked(monkeypatch) as made:
+                for number in range(60):
+                    client = await stand.client()
+                    client.writer.write(request())
+                    while not stand.node.pool.attempts:
+                        await asyncio.sleep(0)
+                    for _ in range(number % 6):
+                        await asyncio.sleep(0)
+                    client.writer.transport.abort()
+                    while stand.node.listener.connections:
+                        await asyncio.sleep(0)
+                stand.node.pool.set_max_connections(0)  # closes those that are idle
+                await until_freed(made)
+
+    run(test())
