Hold what waits for peers in pieces of one size, and charge what a transport keeps whole

Cause: (a) buffers of all sizes up to 128 kB that grew, were sliced and copied: 64 kB of input was cut into 15 shrinking copies, a body grew by realloc and was copied twice, an upload's window was copied to be written. The heap was cut up by them. (b) uvloop keeps a write whole until its last byte is sent; the charge counted only the unsent part.

Change: PieceBuffer holds input, bodies, uploads and responses in pieces of 4 kB at most, and tiny ones share one. OutputBuffer gives a transport batches of 16 kB, keeps the rest in pieces, and counts a batch in whole. A server's connection charges its unsent bytes also once its attempt is over.

--- a/badgercart/core/read_buffer.py
+++ b/badgercart/core/read_buffer.py
@@ -17,6 +17,6 @@
     return _view if limit_bytes >= MAX_READ_BYTES else _view[:limit_bytes]
 
 
-def copy_read_bytes(count: int) -> bytes:
-    """Return a copy of the first `count` bytes, which the last read has filled."""
-    return bytes(_view[:count])
+def read_bytes(count: int) -> memoryview:
+    """Return the first `count` bytes, which the last read has filled; the next read replaces them."""
+    return _view[:count]
--- a/badgercart/core/streams.py
+++ b/badgercart/core/streams.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from badgercart.core.piece_buffer import PieceBuffer
+
 
 @dataclass(slots=True)
 class ResponseHeaderSection:
@@ -64,8 +67,7 @@
     def __init__(self, body_length: int | None, window_bytes: Callable[[], int]) -> None:
         self.body_length = body_length
         self.window_bytes = window_bytes
-        # One buffer: an object for each piece would cost a multiple of tiny pieces.
-        self.buffer = bytearray()
+        self.buffer = PieceBuffer()
         self.consumed = False  # some of it has been read, and can't be read again
         self.complete = False  # all of it has been received
         # The clock time at which its last byte arrived on this machine; infinite: not known.
@@ -78,7 +80,7 @@
 
     def feed(self, data: bytes) -> bool:
         """Append a part of the body, and return whether there is space for more."""
-        self.buffer += data
+        self.buffer.append(data)
         self.on_data()
         return not self.is_full
 
@@ -87,6 +89,11 @@
         """How many bytes wait to be forwarded."""
         return len(self.buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """How much memory the body takes."""
+        return self.buffer.held_bytes
+
     @property
     def is_full(self) -> bool:
         """Whether the window is used up."""
@@ -116,13 +123,12 @@
 
     # For the consumer, the upstream transport.
 
-    def read(self) -> bytes:
-        """Take all buffered bytes; empty where there are none."""
+    def read(self, max_bytes: int = sys.maxsize) -> bytes:
+        """Take buffered bytes, up to about `max_bytes`; empty where there are none."""
         if not self.buffer:
             return b""
         self.consumed = True
-        data = bytes(self.buffer)
-        self.buffer.clear()
+        data = self.buffer.take(max_bytes)
         self.on_space()
         return data
 
--- a/badgercart/frontends/graphql/frontend.py
+++ b/badgercart/frontends/graphql/frontend.py
@@ -20,6 +20,7 @@
 from badgercart.core.endpoint_table import EndpointTable
 from badgercart.core.identifiers import stable_id
 from badgercart.core.memory_budget import MemoryBudget, budget_bytes
+from badgercart.core.piece_buffer import Body
 from badgercart.core.ports import AttemptRequest, UpstreamResponse
 from badgercart.core.request_pipeline import RequestPipeline
 from badgercart.core.requests import describe_unknown_tenant
@@ -214,7 +215,7 @@
         return self.endpoint_table.has_update and not self.endpoint_table.suspended
 
     def read_request(
-        self, method: bytes, url: bytes, headers: RequestHeaders, body: bytes
+        self, method: bytes, url: bytes, headers: RequestHeaders, body: Body
     ) -> ClientRequest:
         """Check the HTTP part of a request. Raises BadRequestError.
 
@@ -325,7 +326,7 @@
             if request.message.body:
                 raise HttpError(400, "a GET has no body")
             return read_get_request(request.target)
-        return read_post_request(request.content_type, request.message.body)
+        return read_post_request(request.content_type, bytes(request.message.body))
 
     def part_requests(self, plan: Plan, request: GraphqlRequest) -> list[PartRequest]:
         """Return the parts as requests to the pipeline.
--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -15,6 +15,8 @@
     MAX_READ_BYTES,
     MemoryCharge,
 )
+from badgercart.core.output_buffer import OutputBuffer
+from badgercart.core.piece_buffer import Body
 from badgercart.core.ports import UpstreamResponse
 from badgercart.core.streams import ResponseHeaderSection, ResponseSink, Upload, do_nothing
 from badgercart.frontends.http.connection import ConnectionStateMachine
@@ -53,7 +55,7 @@
         # Callbacks of a streamed response: when there is capacity again, when the client leaves.
         self.on_space = self.on_abandoned = do_nothing
         self.charge = MemoryCharge(listener.memory_budget)
-        self.write_paused = False  # the client has not taken all that was written
+        self.output = OutputBuffer()
         self.reader_progress = ReaderProgress()
 
     # Callbacks of the transport.
@@ -66,8 +68,7 @@
         self.machine = ConnectionStateMachine(
             self, listener.loop.time(), listener.open_request_names, listener.waiting_since
         )
-        # The transport tells at once when the client does not take all of a response.
-        self.transport.set_write_buffer_limits(high=0)
+        self.output.attach(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request."""
@@ -75,6 +76,7 @@
         self.machine.connection_lost(self.listener.loop.time())
         self.listener.connection_lost(self)
         self.cancel_request(upload)
+        self.output.release()
         self.charge.set(0)
 
     def eof_received(self) -> None:
@@ -106,26 +108,36 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes from the client."""
-        self.machine.received(reading.copy_read_bytes(nbytes), self.listener.loop.time())
+        self.machine.received(reading.read_bytes(nbytes), self.listener.loop.time())
         self.update_charge()
 
     def pause_writing(self) -> None:
         """Handle that the client does not take all of its responses."""
-        self.write_paused = True
+        self.output.pause()
         self.reader_progress.begin(now_ms())
         self.update_charge()
 
     def resume_writing(self) -> None:
         """Handle that the client has taken its responses."""
-        self.write_paused = False
-        if self.machine.write_blocked:
+        if self.output.resume() and self.machine.write_blocked:
             self.machine.writing_unblocked(self.listener.loop.time())
-        self.on_space()
+        if self.has_window:
+            self.on_space()
         self.update_charge()
 
+    @property
+    def write_paused(self) -> bool:
+        """Whether the client has not taken all that was written."""
+        return self.output.paused
+
+    @property
+    def has_window(self) -> bool:
+        """Whether a streamed response may be further ahead of its client."""
+        return not self.write_paused or self.unsent_bytes() < self.stream_window_bytes()
+
     def write(self, data: bytes) -> None:
         """Write to the client."""
-        self.transport.write(data)
+        self.output.write(data)
         if self.write_paused:
             self.update_charge()
 
@@ -133,17 +145,17 @@
         """Charge what is held for the client now to the memory budget."""
         if self.transport.is_closing():
             return
-        held = self.machine.held_bytes()
-        if self.write_paused:
-            unsent = self.unsent_bytes()
-            if unsent > self.body_buffer_bytes() and not self.machine.write_blocked:
-                self.machine.writing_blocked()
-            held += unsent
-        self.charge.set(held)
+        if (
+            self.write_paused
+            and not self.machine.write_blocked
+            and self.output.held_bytes > self.body_buffer_bytes()
+        ):
+            self.machine.writing_blocked()
+        self.charge.set(self.held_bytes())
 
     def unsent_bytes(self) -> int:
         """Return how much of what was written the client's socket has not taken."""
-        return self.transport.get_write_buffer_size() if self.write_paused else 0
+        return self.output.unsent_bytes
 
     def has_unread_input(self) -> bool:
         """Return whether there is input that the event loop has not read yet."""
@@ -207,7 +219,7 @@
     def write_body(self, data: bytes) -> bool:
         """Write a part of the body; return whether there is capacity for more."""
         self.machine.write_body(data)
-        return not self.write_paused or self.unsent_bytes() < self.stream_window_bytes()
+        return self.has_window
 
     def finish_body(self) -> None:
         """End the response."""
@@ -300,7 +312,7 @@
         return self.listener.loop.time()
 
     def read_request(
-        self, method: bytes, url: bytes, headers: RequestHeaders, body: bytes
+        self, method: bytes, url: bytes, headers: RequestHeaders, body: Body
     ) -> ClientRequest | OperatorPage:
         """Check a request, or return the page that it asks for. Raises BadRequestError."""
         if (page := self.listener.handler.pages.get(url)) is not None:
@@ -340,7 +352,7 @@
 
     def held_bytes(self) -> int:
         """Return how many bytes of messages are held for the client."""
-        return self.machine.held_bytes() + self.unsent_bytes()
+        return self.machine.held_bytes() + self.output.held_bytes
 
     def error_body(self, status: int, reason: str) -> tuple[bytes, bytes]:
         """Count a rejected request; return content type and body of the response."""
@@ -370,9 +382,11 @@
         """Close the connection immediately."""
         self.transport.abort()
 
+    def close(self) -> None:
+        """Close the connection, unless some output would be lost: then nothing is done."""
+        if not self.output.waiting:
+            self.transport.close()
+
     def finish_writing(self) -> None:
         """Close the connection after what has been written."""
-        if not self.transport.is_closing() and self.transport.can_write_eof():
-            self.transport.write_eof()
-        else:
-            self.transport.close()
+        self.output.end()
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -141,7 +141,7 @@
         self.max_connections = limit
         spare = [client for client in self.idle if not self.is_protected(client)]
         for client in spare[: max(0, len(self.connections) - limit)]:
-            client.transport.close()
+            client.close()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -202,7 +202,7 @@
                 self.idle, min(idle_before_s, now_s - FIRST_BYTE_GRACE_S)
             ):
                 if now_s - started_s > HANDOVER_IDLE_S and not self.has_unread_input(client):
-                    client.transport.close()
+                    client.close()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     def close(self) -> None:
@@ -304,10 +304,7 @@
         transport = client.transport
         return (
             transport.is_closing()
-            or (
-                transport.get_write_buffer_size() > 0
-                and client.stalled_ms() < READER_STALL_GRACE_MS
-            )
+            or (client.write_paused and client.stalled_ms() < READER_STALL_GRACE_MS)
             or self.has_unread_input(client)
         )
 
@@ -373,7 +370,7 @@
             *self.idle,
         ]:
             if not self.has_unread_input(client):
-                client.transport.close()
+                client.close()
 
     def check_timeouts(self) -> None:
         """End connections whose clients have exceeded a timeout.
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from badgercart.core.piece_buffer import PIECE_BYTES, Body, PieceBuffer, held_bytes
 from badgercart.core.streams import ResponseHeaderSection, Upload
 from badgercart.frontends.http.body_arrival import BodyArrival
 from badgercart.frontends.http.requests import (
@@ -39,8 +40,6 @@
 
 # After this many pipelined requests a connection is not read until some of them are answered.
 MAX_PIPELINED_REQUESTS = 8
-# Input is parsed in pieces of this size, since one read may return hundreds of requests.
-PARSE_CHUNK_BYTES = 4096
 MIN_BODY_RATE_BYTES_PER_S = 32_000.0  # on average; a slower body times out
 HEALTH_PATH = b"/_health"
 # Each costs time of its own, however short it is; trailer fields count too.
@@ -140,7 +139,7 @@
         """Return the time on the clock of all events."""
 
     def read_request(
-        self, method: bytes, url: bytes, headers: RequestHeaders, body: bytes
+        self, method: bytes, url: bytes, headers: RequestHeaders, body: Body
     ) -> ClientRequest | OperatorPage:
         """Check a request, whose body may still be being received. Raises BadRequestError."""
 
@@ -178,7 +177,7 @@
 def message_bytes(request: ClientRequest) -> int:
     """Return how much memory a buffered request takes, without a streamed body."""
     message = request.message
-    return len(message.header_section) + len(message.body) + REQUEST_OBJECTS_BYTES
+    return len(message.header_section) + held_bytes(len(message.body)) + REQUEST_OBJECTS_BYTES
 
 
 class ConnectionStateMachine:
@@ -217,7 +216,7 @@
         self.pending: deque[tuple[ParsedRequest, bool]] = deque()
         self.pending_bytes = 0  # of these requests
         self.served_bytes = 0  # of the one being served
-        self.unparsed = b""  # input that waits for its turn, or for pending requests to be answered
+        self.unparsed = PieceBuffer()  # waits for its turn, or for pending requests to be answered
         self.input_scheduled = False  # a call of `continue_input` is due
         self.request: ClientRequest | None = None  # the one being served
         self.is_serving = self.advancing = False
@@ -233,7 +232,7 @@
         self.receiving_since_s = now_s
         self.url = b""
         self.headers = RequestHeaders()
-        self.body = bytearray()
+        self.body = PieceBuffer()
         self.request_bytes = 0  # received of the current request
         self.received_bytes = 0  # on this connection
         # The body of the request being received and the request itself, if the body is streamed.
@@ -245,8 +244,8 @@
 
     # Events.
 
-    def received(self, data: bytes, now_s: float) -> None:
-        """Handle bytes from the client."""
+    def received(self, data: bytes | memoryview, now_s: float) -> None:
+        """Handle bytes from the client, which are copied."""
         self.now_s = self.last_received_s = now_s
         self.received_bytes += len(data)
         if self.input_ended:
@@ -255,10 +254,10 @@
         if self.headers.complete and self.state in self.waiting_since and not self.upload_stalled:
             since_s = self.receiving_since_s + len(data) / MIN_BODY_RATE_BYTES_PER_S
             self.wait_for_client_since(min(now_s, since_s))
-        self.unparsed = self.unparsed + data if self.unparsed else data
+        self.unparsed.append(data)
         if self.input_scheduled:
             return
-        if len(data) < PARSE_CHUNK_BYTES:
+        if len(data) < PIECE_BYTES:
             self.parse_next_part()
         else:
             # More may follow at once: it is parsed in turn with that of other connections.
@@ -390,16 +389,16 @@
             self.release_name(request)
         self.pending.clear()
         self.pending_bytes = 0
-        self.unparsed = b""
+        self.unparsed.clear()
 
     def held_bytes(self) -> int:
         """Return how many bytes of requests are held."""
-        received = len(self.url) + len(self.headers.forwarded_lines) + len(self.body)
-        held = len(self.unparsed) + received + self.pending_bytes + self.served_bytes
+        received = len(self.url) + len(self.headers.forwarded_lines) + self.body.held_bytes
+        held = self.unparsed.held_bytes + received + self.pending_bytes + self.served_bytes
         upload = self.upload
         if upload is None and self.request is not None:
             upload = self.request.message.upload
-        return held if upload is None else held + upload.buffered_bytes
+        return held if upload is None else held + upload.held_bytes
 
     # Requests in.
 
@@ -417,15 +416,9 @@
     def parse_next_part(self) -> None:
         """Parse a part of the input; the rest waits, and reading is paused."""
         if self.can_parse:
-            data = self.unparsed
-            if len(data) > PARSE_CHUNK_BYTES:
-                self.unparsed = data[PARSE_CHUNK_BYTES:]
-                data = data[:PARSE_CHUNK_BYTES]
-            else:
-                self.unparsed = b""
-            self.parse(data)
+            self.parse(self.unparsed.pop_piece())
         if self.input_ended:
-            self.unparsed = b""
+            self.unparsed.clear()
         if self.unparsed:
             self.pause_reading()
         else:
@@ -509,7 +502,7 @@
         self.receiving = False
         self.request_bytes = 0
         self.url = b""
-        self.headers, self.body = RequestHeaders(), bytearray()
+        self.headers, self.body = RequestHeaders(), PieceBuffer()
         self.upload = self.streaming_request = self.body_arrival = None
 
     def missing_body_bytes(self, unread_bytes: int | None) -> int | None:
@@ -596,7 +589,7 @@
         if self.upload is None:
             if headers.body_bytes > self.driver.body_buffer_bytes():
                 raise BadRequestError(503, "there is no memory for a body of this size now")
-            self.body += body
+            self.body.append(body)
         elif not self.upload.feed(body) and not self.upload_stalled:
             # Reading stops until there is capacity. The client is not the slow side meanwhile, so
             # its request does not time out.
@@ -615,9 +608,8 @@
         if not isinstance(request, ClientRequest):
             raise BadRequestError(413, "this has no body of such a size")
         self.streaming_request, self.body_arrival = request, BodyArrival()
-        if self.body:
-            self.upload.feed(bytes(self.body))
-            self.body.clear()
+        while self.body:
+            self.upload.feed(self.body.pop_piece())
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
@@ -652,7 +644,7 @@
             if method != b"GET":
                 raise BadRequestError(405, "the health is asked for by GET", b"Allow: GET\r\n")
             return HealthCheck()
-        return self.driver.read_request(method, self.url, self.headers, bytes(self.body))
+        return self.driver.read_request(method, self.url, self.headers, self.body.compact())
 
     def serve_pending(self) -> None:
         """Serve pending requests until one of them waits for its response."""
--- a/badgercart/frontends/http/requests.py
+++ b/badgercart/frontends/http/requests.py
@@ -17,6 +17,7 @@
 
 from badgercart.config import Config
 from badgercart.core.clock import now_ms
+from badgercart.core.piece_buffer import Body
 from badgercart.core.requests import Classifier, InvalidRequestError
 from badgercart.core.streams import Upload
 from badgercart.upstream.exchange import MAX_BODY_BYTES, MAX_HEADER_SECTION_BYTES, UpstreamRequest
@@ -180,7 +181,7 @@
 }
 
 # Checks a request given by method, target, headers and body. Raises BadRequestError.
-RequestReader = Callable[[bytes, bytes, RequestHeaders, bytes], ClientRequest]
+RequestReader = Callable[[bytes, bytes, RequestHeaders, Body], ClientRequest]
 
 
 def platform_request_reader(config: Config, stream_responses: bool = False) -> RequestReader:
@@ -190,7 +191,7 @@
     """
     classifier = Classifier(config)
 
-    def read(method: bytes, url: bytes, headers: RequestHeaders, body: bytes) -> ClientRequest:
+    def read(method: bytes, url: bytes, headers: RequestHeaders, body: Body) -> ClientRequest:
         upload = headers.upload
         if headers.fault:
             raise BadRequestError(400, headers.fault)
--- a/badgercart/metrics/component.py
+++ b/badgercart/metrics/component.py
@@ -9,6 +9,7 @@
 
 from badgercart.app.component import ComponentDeclaration, ComponentHost, ComponentKind
 from badgercart.app.model import Address, Table
+from badgercart.core.piece_buffer import Body
 from badgercart.frontends.http.requests import (
     BadRequestError,
     ClientRequest,
@@ -56,9 +57,7 @@
             host.loop, settings.listen, self, MAX_CONNECTIONS, self.read, problem_document
         )
 
-    def read(
-        self, method: bytes, url: bytes, headers: RequestHeaders, body: bytes
-    ) -> ClientRequest:
+    def read(self, method: bytes, url: bytes, headers: RequestHeaders, body: Body) -> ClientRequest:
         """Raise BadRequestError, since there is only the metrics page."""
         raise BadRequestError(404, f"figures are at {PATH.decode()}")
 
--- a/badgercart/upstream/exchange.py
+++ b/badgercart/upstream/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -13,6 +14,8 @@
 import httptools
 
 from badgercart.core.memory_budget import MAX_BUFFERED_MESSAGE_BYTES
+from badgercart.core.output_buffer import BATCH_BYTES
+from badgercart.core.piece_buffer import PIECE_BYTES, Body, PieceBuffer
 from badgercart.core.ports import UpstreamResponse
 from badgercart.core.streams import ResponseHeaderSection, Upload
 
@@ -36,7 +39,7 @@
     """A request as it is forwarded, without its timeout, which each attempt writes anew."""
 
     header_section: bytes  # the request line and the header lines
-    body: bytes
+    body: Body
     upload: Upload | None = None  # the body, where it is streamed
     may_stream_response: bool = False
 
@@ -111,7 +114,7 @@
     def __init__(self) -> None:
         self.state = ExchangeState.IDLE
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self.body = bytearray()
+        self.body = PieceBuffer()
         self.response_bytes = 0  # received so far, all framing included
         self.body_bytes = 0  # of these, the body
         self.interim_responses = 0
@@ -141,19 +144,19 @@
         return b"%bRequest-Timeout: %dm\r\n\r\n%b" % (
             request.header_section,
             max(1, int(remaining_ms)),
-            request.body,
+            bytes(request.body),
         )
 
-    def read_upload(self) -> bytes:
+    def read_upload(self, max_bytes: int = sys.maxsize) -> bytes:
         """Return what has been received of the request's body since, framed; also its end."""
         assert self.upload is not None
-        data = self.upload.read()
+        data = self.upload.read(max_bytes)
         if self.upload.body_length is not None:
             return data
         chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
         return chunk + b"0\r\n\r\n" if self.upload.exhausted else chunk
 
-    def receive(self, data: bytes) -> ExchangeResult | None:
+    def receive(self, data: bytes | memoryview) -> ExchangeResult | None:
         """Parse bytes from the server; returns None while the response is incomplete."""
         if self.state is not ExchangeState.AWAITING_RESPONSE:
             self.close()
@@ -161,7 +164,8 @@
         assert self.parser is not None
         self.response_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            for begin in range(0, len(data), PIECE_BYTES):
+                self.parser.feed_data(data[begin : begin + PIECE_BYTES])
         except httptools.HttpParserError as error:
             if not self.complete:
                 return self.reject_response(str(error.__context__ or error))
@@ -252,10 +256,8 @@
         )
 
     def take_body(self) -> bytes:
-        """Take what has arrived of the body and was not taken yet."""
-        data = bytes(self.body)
-        self.body.clear()
-        return data
+        """Take a part of what has arrived of the body and was not taken yet."""
+        return self.body.take(BATCH_BYTES)
 
     def reject_response(self, reason: str) -> MalformedResponse:
         """Close the exchange because of an invalid response."""
@@ -269,7 +271,7 @@
 
     def release_messages(self) -> None:
         """Free the buffered response and the request's body: the connection may be idle long."""
-        self.body = bytearray()
+        self.body.clear()
         self.upload = None
 
     def release_parser(self) -> None:
@@ -313,7 +315,7 @@
         self.body_bytes += len(body)
         if self.body_bytes > (MAX_STREAMED_BODY_BYTES if self.may_stream else MAX_BODY_BYTES):
             raise ValueError("a body over the limit")  # reaches `receive` as a parser error
-        self.body += body
+        self.body.append(body)
 
     def on_headers_complete(self) -> None:
         """Check the headers, and whether the response may be streamed."""
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -12,6 +12,7 @@
 from badgercart.core import read_buffer
 from badgercart.core.clock import now_ms
 from badgercart.core.memory_budget import MIN_READ_BYTES, MemoryCharge
+from badgercart.core.output_buffer import BATCH_BYTES, OutputBuffer
 from badgercart.core.results import attempt_result
 from badgercart.core.streams import ResponseSink, Upload, do_nothing
 from badgercart.policy.endpoint import EndpointState
@@ -94,7 +95,8 @@
         self.idle_ms = 0.0  # how long it was idle before the attempt
         self.charge = MemoryCharge(pool.memory_budget)  # of a response, and of an unsent request
         self.sink: ResponseSink | None = None  # the destination of a streamed response
-        self.write_paused = self.read_paused = False
+        self.output = OutputBuffer()
+        self.read_paused = False
         self.last_progress_ms = 0.0  # when a part of a streamed body was last forwarded
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -102,8 +104,7 @@
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with
         # TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
-        # The transport tells at once when the server does not take all of a request.
-        self.transport.set_write_buffer_limits(high=0)
+        self.output.attach(self.transport)
         self.socket_poll = select.poll()
         self.socket_poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
@@ -111,6 +112,7 @@
         """End the attempt on the connection, if there is one."""
         self.exchange.close()
         self.exchange.release_parser()
+        self.output.release()
         self.pool.connection_closed(self)
         if self in self.server.idle_connections:
             self.server.idle_connections.remove(self)
@@ -120,11 +122,13 @@
             self.pool.idle_timeout.record_reuse(self.idle_ms, self.exchange.response_bytes > 0)
             self.detach_attempt(complete=False)
             self.pool.finish_attempt(attempt, CONNECTION_LOST_RESULTS[attempt.phase])
+        self.charge.set(0)
 
     def give_up(self) -> None:
         """Free a connection that was not established; its transport may refer to it."""
         self.exchange.release_parser()
         self.transport = cast(asyncio.Transport, None)
+        self.output = OutputBuffer()
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing unread is in its socket.
@@ -146,7 +150,7 @@
         )
         self.exchange.message_limit_bytes = self.pool.message_limit_bytes
         remaining_ms = attempt.deadline_ms - now_ms()
-        self.transport.write(
+        self.output.write(
             self.exchange.start_request(
                 request, remaining_ms if math.isfinite(remaining_ms) else attempt.timeout_ms
             )
@@ -159,7 +163,7 @@
     def request_sent(self) -> bool:
         """Return whether the whole request on the connection has left this process."""
         if self.attempt is not None and self.attempt.phase is AttemptPhase.SENT:
-            return self.transport.is_closing() or not self.transport.get_write_buffer_size()
+            return self.transport.is_closing() or self.output.is_empty
         return self.attempt is None or self.attempt.phase is not AttemptPhase.STREAMING_REQUEST
 
     # Streamed requests and responses.
@@ -176,24 +180,32 @@
             self.pool.start_timeout(attempt)
         if self.write_paused or self.transport.is_closing():
             return
-        if data := self.exchange.read_upload():
+        if data := self.exchange.read_upload(BATCH_BYTES):
             self.last_progress_ms = now_ms()
-            self.transport.write(data)
+            self.output.write(data)
+        while upload.buffer:
+            self.output.write(self.exchange.read_upload(BATCH_BYTES))
         if upload.exhausted:
             attempt.phase = AttemptPhase.SENT
             upload.on_data = do_nothing
 
     def pause_writing(self) -> None:
         """Stop forwarding a request, as the server does not read."""
-        self.write_paused = True
+        self.output.pause()
         self.update_charge()
 
     def resume_writing(self) -> None:
         """Go on forwarding a request."""
-        self.write_paused, self.last_progress_ms = False, now_ms()
-        self.forward_upload()
+        self.last_progress_ms = now_ms()
+        if self.output.resume():
+            self.forward_upload()
         self.update_charge()
 
+    @property
+    def write_paused(self) -> bool:
+        """Whether the server has not read all that was written."""
+        return self.output.paused
+
     def start_streaming(self) -> None:
         """Start to stream the response."""
         attempt, pool = self.attempt, self.pool
@@ -219,15 +231,12 @@
 
     def forward_response(self) -> None:
         """Forward what has arrived of a streamed response."""
-        assert self.sink is not None
-        data = self.exchange.take_body()
+        while self.sink is not None and (data := self.exchange.take_body()):
+            self.last_progress_ms = now_ms()
+            if not self.sink.write_body(data) and self.sink is not None and not self.read_paused:
+                self.read_paused = True
+                self.transport.pause_reading()
         self.update_charge()
-        if not data:
-            return
-        self.last_progress_ms = now_ms()
-        if not self.sink.write_body(data) and self.sink is not None and not self.read_paused:
-            self.read_paused = True
-            self.transport.pause_reading()
 
     def on_space(self) -> None:
         """Go on reading a response, as its client has space again."""
@@ -258,7 +267,7 @@
     def detach_attempt(self, complete: bool) -> Attempt | None:
         """Detach the attempt, which is over, and end its streamed response."""
         attempt, self.attempt = self.attempt, None
-        self.charge.set(0)
+        self.update_charge()
         if (sink := self.sink) is not None:
             self.sink = None
             self.pool.memory_budget.stream_count -= 1
@@ -270,10 +279,7 @@
 
     def update_charge(self) -> None:
         """Charge what is held of the attempt to the memory budget."""
-        held = len(self.exchange.body)
-        if self.write_paused:
-            held += self.transport.get_write_buffer_size()
-        self.charge.set(held if self.attempt is not None else 0)
+        self.charge.set(self.exchange.body.held_bytes + self.output.held_bytes)
 
     # Callbacks of the transport.
 
@@ -285,7 +291,7 @@
         """Handle bytes from the server."""
         if nbytes >= MIN_FULL_READ_BYTES:
             self.yield_turn()
-        result = self.exchange.receive(read_buffer.copy_read_bytes(nbytes))
+        result = self.exchange.receive(read_buffer.read_bytes(nbytes))
         if result is not None:
             self.handle_result(result)
         elif self.exchange.streaming:
--- a/tests/frontends/test_http.py
+++ b/tests/frontends/test_http.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from badgercart.core.identifiers import stable_id
+from badgercart.core.piece_buffer import PIECE_BYTES
 from badgercart.frontends.http import clients, connection, connection_eviction
 from badgercart.policy.events import EndpointUpdate, Request, RequestCancelled
 from badgercart.upstream import connection_pool
@@ -447,7 +448,7 @@
             (client_connection,) = stand.node.listener.connections
             assert (
                 len(stand.node.listener.open_request_names)
-                <= connection.MAX_PIPELINED_REQUESTS + connection.PARSE_CHUNK_BYTES // 100
+                <= connection.MAX_PIPELINED_REQUESTS + PIECE_BYTES // 100
             )
             release.set()
             for _ in range(400):
