Limit what the budget gives out by the measured memory, and act before the limit

What callers saw: processes were killed while the log said that 13 of 64 MB were buffered messages. MemoryWatch read the memory once a second and warned; nothing acted on it. PROGRAM_BYTES was 25 MB, a process at rest has 28.

With no room left, requests that have not come in whole are answered 503, the largest first, and streams without progress are ended; memory.relieved says so. Processes of an upgrade add up what all of them have resident. The number of clients is limited by what is left beside the program, 32 at least. Only the platform's program acts (Node.limit_memory): what runs several nodes in one process has memory of its own. Other installations (serve FILE) still only warn.

Evidence: tests/pressure/test_memory_over_time.py reads VmHWM after 5 s of 700 clients that come again.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -26,6 +26,7 @@
     gc.collect()
     gc.freeze()  # excludes from collection what exists by now, since it stays until the end
     await node.start()
+    node.limit_memory()
     await stop.wait()
     await node.drain()
 
--- a/badgercart/core/log_events.py
+++ b/badgercart/core/log_events.py
@@ -104,6 +104,12 @@
     "memory: %(resident)d of %(limit)d bytes, %(buffered)d of them buffered messages, %(streams)d streams",
     "The process comes near its limit. Look at what clients hold: unfinished requests, answers that are not read.",
 )
+MEMORY_RELIEVED = define_event(
+    "memory.relieved",
+    logging.WARNING,
+    "memory: %(resident)d of %(limit)d bytes; connections that held %(freed)d were ended",
+    "The measured memory came to the limit. The requests that had not come in whole were answered 503.",
+)
 POLICY_FAILED = define_event(
     "policy.failed",
     logging.WARNING,
--- a/badgercart/core/memory_budget.py
+++ b/badgercart/core/memory_budget.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import sys
+
 MAX_BUFFERED_MESSAGE_BYTES = 65536
 MIN_BUFFERED_MESSAGE_BYTES = 2048
 # A window is how far a stream may be ahead of its reader.
@@ -22,7 +24,10 @@
 MESSAGES_PART = 1 / 2
 STREAMS_PART = 3 / 4
 # What the program uses by itself, without any messages.
-PROGRAM_BYTES = 24 << 20
+PROGRAM_BYTES = 29_000_000
+# What one connection takes without any messages.
+CONNECTION_BYTES = 8192
+MIN_CONNECTIONS = 32
 MIN_BUDGET_BYTES = 4 << 20
 
 
@@ -31,6 +36,12 @@
     return max(MIN_BUDGET_BYTES, (int(memory_mb * 1_000_000) - PROGRAM_BYTES) // 2)
 
 
+def connection_limit(memory_mb: float) -> int:
+    """Return how many clients a process that may use `memory_mb` can have at once."""
+    left_bytes = int(memory_mb * 1_000_000) - PROGRAM_BYTES
+    return max(MIN_CONNECTIONS, left_bytes // 2 // CONNECTION_BYTES)
+
+
 class MemoryBudget:
     """The budget of one process.
 
@@ -38,16 +49,32 @@
         total_bytes: the budget.
         buffered_bytes: what is held now, as charged.
         stream_count: how many responses are being streamed.
+        connection_count: how many clients are connected.
+        ceiling_bytes: what may be held in all, as the measured memory of the process allows.
     """
 
     def __init__(self, total_bytes: int) -> None:
         self.total_bytes = total_bytes
         self.buffered_bytes = 0
         self.stream_count = 0
+        self.connection_count = 0
+        self.ceiling_bytes = sys.maxsize
+
+    def set_headroom(self, headroom_bytes: int) -> None:
+        """Allow this much more than what is held now."""
+        self.ceiling_bytes = self.held_bytes + headroom_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """What messages and connections hold."""
+        return self.buffered_bytes + CONNECTION_BYTES * self.connection_count
 
     def _limit(self, part: float, share: float, least: int, most: int) -> int:
         """Return a share of what is left of a part of the budget, between two bounds."""
-        limit = share * (part * self.total_bytes - self.buffered_bytes)
+        left = min(
+            part * self.total_bytes - self.buffered_bytes, self.ceiling_bytes - self.held_bytes
+        )
+        limit = share * left
         return most if limit >= most else max(least, int(limit))
 
     @property
--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -69,6 +69,8 @@
             self, listener.loop.time(), listener.open_request_names, listener.waiting_since
         )
         self.output.attach(self.transport)
+        if listener.memory_budget is not None:
+            listener.memory_budget.connection_count += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request."""
@@ -78,6 +80,8 @@
         self.cancel_request(upload)
         self.output.release()
         self.charge.set(0)
+        if self.listener.memory_budget is not None:
+            self.listener.memory_budget.connection_count -= 1
 
     def eof_received(self) -> None:
         """Cancel the current request: by the protocol, a client that closes its side has left.
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -23,6 +23,7 @@
     choose_connection_to_evict,
 )
 from badgercart.frontends.http.log_events import ACCEPT_FAILED
+from badgercart.frontends.http.memory_relief import largest_holders
 from badgercart.frontends.http.request_handler import RequestHandler
 from badgercart.frontends.http.requests import (
     ClientRequest,
@@ -399,6 +400,24 @@
             elif not self.has_unread_input(client):
                 self.end_client(client, CloseReason.IDLE)
 
+    def relieve_memory(self, wanted_bytes: int) -> int:
+        """End clients that hold much and have not sent all, or take nothing; return what they held."""
+        ended_bytes = 0
+        candidates = [*self.receiving, *(c for c in self.connections if self.takes_nothing(c))]
+        for client, held_bytes in largest_holders(candidates, wanted_bytes):
+            ended_bytes += held_bytes
+            if client in self.receiving:
+                self.note_end(client, CloseReason.MEMORY)
+                client.machine.give_up_request(self.loop.time())
+            else:
+                self.end_client(client, CloseReason.ANSWER_UNREAD)
+        return ended_bytes
+
+    @staticmethod
+    def takes_nothing(client: ClientConnection) -> bool:
+        """Return whether a client has taken nothing of its response for long."""
+        return client.write_paused and client.stalled_ms() >= READER_STALL_GRACE_MS
+
     def end_if_delivered(self, client: ClientConnection) -> None:
         """Close a connection whose client has got all, or has taken nothing for long.
 
--- a/badgercart/frontends/http/close_reason.py
+++ b/badgercart/frontends/http/close_reason.py
@@ -15,6 +15,7 @@
     REQUEST_INCOMPLETE = "request_incomplete"
     ANSWER_UNREAD = "answer_unread"
     IDLE = "idle"
+    MEMORY = "memory"
 
 
 # The reasons that are worth a line in the log.
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -294,6 +294,12 @@
         self.reject(408, "the request did not come in whole in time")
         self.serve_pending()
 
+    def give_up_request(self, now_s: float) -> None:
+        """Reject the request being received, as there is no memory for it."""
+        self.now_s = now_s
+        self.reject(503, "there is no memory for the request now")
+        self.serve_pending()
+
     def respond(
         self, now_s: float, status: int, body: bytes, content_type: bytes, extra_headers: bytes
     ) -> None:
--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -5,14 +5,14 @@
 import asyncio
 import math
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from badgercart.config import Config
 from badgercart.core.clock import RESPONSE_MARGIN_MS, now_ms
 from badgercart.core.descriptors import DescriptorBudget
 from badgercart.core.endpoint_table import EndpointTable
-from badgercart.core.memory_budget import MemoryBudget, budget_bytes
-from badgercart.core.memory_watch import MemoryWatch
+from badgercart.core.memory_budget import MemoryBudget, budget_bytes, connection_limit
+from badgercart.core.memory_watch import MemoryWatch, no_other_processes
 from badgercart.core.ports import IncomingRequest
 from badgercart.core.request_ledger import RequestLedger
 from badgercart.core.request_pipeline import RequestPipeline
@@ -75,7 +75,9 @@
         descriptors = DescriptorBudget.for_limit(
             config.sockets, config.console is not None, other_components
         )
-        self.descriptor_limits = clients, servers = descriptors.split(share)
+        clients, servers = descriptors.split(share)
+        clients = min(clients, connection_limit(config.memory_mb))
+        self.descriptor_limits = clients, servers
         self.memory_budget = MemoryBudget(budget_bytes(config.memory_mb))
         self.memory_watch = MemoryWatch(config.memory_mb, self.memory_budget, loop)
         self.pool = ServerPool(
@@ -144,6 +146,16 @@
         host, port = self.listener.address
         LISTENING(name=self.config.name, host=host, port=port)
 
+    def limit_memory(
+        self, other_processes: Callable[[], Collection[int]] = no_other_processes
+    ) -> None:
+        """Keep this process, with others that share its limit, inside its memory limit."""
+        self.memory_watch.limit_process(self.relieve_memory, other_processes)
+
+    def relieve_memory(self, wanted_bytes: int) -> int:
+        """End what holds memory without progress; return what that was in bytes."""
+        return self.pool.relieve_memory(wanted_bytes) + self.listener.relieve_memory(wanted_bytes)
+
     def apply_config(self, config: Config) -> None:
         """Use another configuration. Requests that are already received keep the old one."""
         self.config = config
--- a/badgercart/hot_restart/process_lock.py
+++ b/badgercart/hot_restart/process_lock.py
@@ -21,6 +21,11 @@
 SCAN_INTERVAL_S = 0.1
 
 
+def process_id(name: str) -> int:
+    """Return the id of the process whose lock file has this name."""
+    return int(name.removeprefix(LOCK_FILE_PREFIX).removesuffix(LOCK_FILE_SUFFIX))
+
+
 class ProcessLock:
     """The lock of this process, and a periodic scan for other processes.
 
@@ -46,6 +51,7 @@
         self.is_closed = False
         self.path = folder / f"{LOCK_FILE_PREFIX}{os.getpid()}{LOCK_FILE_SUFFIX}"
         self._lock_file: BinaryIO | None = None
+        self.other_process_ids: list[int] = []
         self.is_alone = self._scan()
 
     def start(self) -> None:
@@ -69,10 +75,11 @@
         try:
             if self._lock_file is None:
                 self._lock_file = self._lock()
-            return not self.find_other_processes()
+            self.other_process_ids = [process_id(name) for name in self.find_other_processes()]
         except OSError as error:
             LOCK_FAILED(path=self.path, error=error)
             return False
+        return not self.other_process_ids
 
     def _lock(self) -> BinaryIO:
         """Lock the file of this process. Raises OSError."""
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -16,6 +16,7 @@
 from badgercart.core.clock import now_ms
 from badgercart.core.endpoint_table import EndpointTable
 from badgercart.core.log_events import CONFIG_KEPT, CONFIG_READ, LIST_KNOWN_MALFORMED, STOPPED
+from badgercart.core.memory_watch import no_other_processes
 from badgercart.core.request_ledger import RequestLedger
 from badgercart.core.request_pipeline import RequestPipeline
 from badgercart.discovery.backoff import CallTiming
@@ -169,6 +170,13 @@
             return "no server list has come yet"
         return "" if self.listener.opened else "discovery has not answered yet"
 
+    def limit_memory(self) -> None:
+        """Keep all processes of the node inside its memory limit; this one runs nothing else."""
+        lock = self.process_lock
+        self.frontend.limit_memory(
+            no_other_processes if lock is None else lambda: lock.other_process_ids
+        )
+
     def on_alone_changed(self, alone: bool) -> None:
         """Handle that another process of this node has started, or that the last one has ended."""
         (ALONE if alone else BESIDE)()
--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -401,6 +401,16 @@
         for stream in longest_stalled(self.connections, now_ms(), waiting):
             self.end_stalled(stream)
 
+    def relieve_memory(self, wanted_bytes: int) -> int:
+        """End streams whose clients make no progress; return what they held."""
+        ended_bytes = 0
+        for stream in longest_stalled(self.connections, now_ms(), len(self.connections)):
+            if ended_bytes >= wanted_bytes:
+                break
+            ended_bytes += stream.connection.held_bytes()
+            self.end_stalled(stream)
+        return ended_bytes
+
     def end_stalled(self, stream: StalledStream) -> None:
         """End a stream whose client makes no progress."""
         attempt: Attempt = stream.connection.attempt
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -281,6 +281,11 @@
         """Charge what is held of the attempt to the memory budget."""
         self.charge.set(self.exchange.body.held_bytes + self.output.held_bytes)
 
+    def held_bytes(self) -> int:
+        """Return how much memory the connection and the streamed request on it hold."""
+        upload = None if self.attempt is None else self.attempt.upload
+        return self.charge.charged_bytes + (0 if upload is None else upload.held_bytes)
+
     # Callbacks of the transport.
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/tests/pressure/support.py
+++ b/tests/pressure/support.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -35,13 +35,15 @@
 
 
 @asynccontextmanager
-async def deployed(folder: Path, **changes: Any) -> AsyncIterator[Deployment]:
+async def deployed(
+    folder: Path, command: Sequence[str] = ("-m", "badgercart"), **changes: Any
+) -> AsyncIterator[Deployment]:
     """Run a node of a small deployment; `changes` replace parts of its configuration."""
     servers = [await PlannedServer(f"s-{number}").start() for number in range(SERVERS)]
     entries = [server.entry() for server in servers]
     catalog = await Catalog(entries).start()
     config = configuration(catalog.address, entries, MEMORY_LIMIT_MB, DESCRIPTOR_LIMIT) | changes
-    node = await PlatformNode(folder, config).start()
+    node = await PlatformNode(folder, config, command).start()
     deployment = Deployment(node, servers, catalog)
     try:
         await ask(node.port, request(), START_PATIENCE_S)  # it is ready once it serves
