Show a client that is closed for another one the end of its connection at once

What callers saw: beside 700 clients with slow bodies or slow readers, five requests each on open and on new connections ended with a close and no answer, over 20 ms after they were written; the log said 'it was new, 0 bytes held'.

Cause, by reading: evict_one looks whether there is unread input, and aborts; uvloop closes the socket in a later iteration of the loop, which is 20 ms away and more under load. What came in between was accepted by the system and never read.

Change: the socket is shut down in both directions directly after the look, so that the client sees the end before it writes. Microseconds are left between the two calls; the program never read such a request.

Measured: test_an_evicted_client_sees_the_end_before_the_node_does_anything_else timed out before and holds now. That this was the cause of those ten requests is suspected, not traced.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -5,7 +5,9 @@
 import asyncio
 import math
 import select
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING, cast
 
 from badgercart.core import read_buffer as reading
@@ -386,6 +388,15 @@
         """Close the connection immediately."""
         self.transport.abort()
 
+    def shut_down(self) -> None:
+        """Let the client see the end of the connection at once."""
+        with suppress(OSError):
+            sock = socket.socket(fileno=self.descriptor)
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            finally:
+                sock.detach()  # the transport owns the descriptor
+
     def close(self) -> None:
         """Close the connection, unless some output would be lost: then nothing is done."""
         if not self.output.waiting:
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -276,6 +276,8 @@
             self.waiting_since, self.silent_since_s, self.is_protected, self.loop.time()
         )
         if client is not None:
+            # The transport closes in the loop's next iteration, and what came until then would be lost.
+            client.shut_down()
             self.end_client(client, CloseReason.EVICTED)
             self.evicted = client
             return True
