--- a/standins/planned_answers.py
+++ b/standins/planned_answers.py
@@ -47,11 +47,12 @@
 
 @dataclass(slots=True, frozen=True)
 class ReceivedRequest:
-    """A request that has arrived completely."""
+    """A request that has arrived completely; times are those of the monotonic clock."""
 
     request_id: str
     key: str
-    received_at_s: float  # monotonic clock
+    head_at_s: float  # when its head had come
+    received_at_s: float
     server: str
     timeout_ms: float
 
@@ -111,9 +112,10 @@
         try:
             while True:
                 head = await http1.read_head(reader)
+                head_at_s = time.monotonic()
                 plan = decode(head.start_line[1].rpartition("/")[2])
                 await read_body(reader, head, plan.read_rate)
-                self.record(head)
+                self.record(head, head_at_s)
                 await write_answer(writer, plan)
         except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError, ValueError):
             pass
@@ -126,7 +128,7 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
-    def record(self, head: http1.Message) -> None:
+    def record(self, head: http1.Message, head_at_s: float) -> None:
         """Record a request that has arrived completely."""
         request_id = head.headers.get("request-id", "")
         self.times_received[request_id] += 1
@@ -134,6 +136,7 @@
             ReceivedRequest(
                 request_id,
                 head.headers.get("idempotency-key", ""),
+                head_at_s,
                 time.monotonic(),
                 self.name,
                 float(head.headers.get("request-timeout", "0m")[:-1]),
