--- a/tests/pressure/test_memory_over_time.py
+++ b/tests/pressure/test_memory_over_time.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import socket
 from pathlib import Path
 
 import pytest
 
-from lab.trial.platform_node import MEGABYTE
+from lab.trial.platform_node import MEGABYTE, PlatformNode
 from standins.returning_crowd import KINDS, ReturningCrowd
 from tests.net import run
 from tests.pressure.support import DESCRIPTOR_LIMIT, deployed
@@ -63,3 +65,36 @@
             assert node.memory_bytes("VmHWM") < 64 * MEGABYTE
 
     run(test())
+
+
+def resident_bytes(nodes: list[PlatformNode]) -> int:
+    """Return what the running processes have resident together."""
+    return sum(node.memory_bytes("VmRSS") for node in nodes if node.running)
+
+
+def test_both_processes_of_an_upgrade_stay_inside_one_limit(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with deployed(tmp_path / "list") as deployment:
+            listening = socket.create_server(("127.0.0.1", 0), backlog=DESCRIPTOR_LIMIT)
+            config = dict(deployment.node.config) | {"limits": limits(80)}
+            old = await PlatformNode(tmp_path, config, listening=listening).start()
+            crowd = await ReturningCrowd.start(
+                listening.getsockname()[1], CLIENTS, 1, "half-bodies"
+            )
+            nodes = [old]
+            try:
+                await asyncio.sleep(CROWD_S)
+                nodes.append(await PlatformNode(tmp_path, config, listening=listening).start())
+                old.signal(signal.SIGTERM)
+                peak_bytes = 0
+                while old.running:
+                    peak_bytes = max(peak_bytes, resident_bytes(nodes))
+                    await asyncio.sleep(0.01)
+            finally:
+                await crowd.stop()
+                for node in nodes:
+                    await node.kill()
+                listening.close()
+            assert peak_bytes < 80 * MEGABYTE
+
+    run(test())
