Count the time in which a new connection's request waited unread as its client's

What callers saw, in soaks beside crowds that come again: servers were told up to 0.8 s more than the client had left, mostly just after a process had started, and answers came late.

Cause: a request's time counted from when the node read it. On a new connection it may have waited in the backlog, which a starting process leaves closed until its list has come.

Change: with the first bytes of a connection, TCP_INFO tells how long ago they came (tcpi_last_data_recv); where the system does not tell, nothing is taken off.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -21,7 +21,7 @@
 from badgercart.core.piece_buffer import Body
 from badgercart.core.ports import UpstreamResponse
 from badgercart.core.streams import ResponseHeaderSection, ResponseSink, Upload, do_nothing
-from badgercart.frontends.http.connection import ConnectionStateMachine
+from badgercart.frontends.http.connection import ConnectionState, ConnectionStateMachine
 from badgercart.frontends.http.reader_progress import ReaderProgress
 from badgercart.frontends.http.request_handler import StreamingRequestHandler
 from badgercart.frontends.http.requests import (
@@ -34,6 +34,7 @@
     DISCONNECT_EVENTS,
     poll_socket,
     undelivered_bytes,
+    unread_age_s,
     unread_bytes,
 )
 
@@ -114,7 +115,12 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes from the client."""
-        self.machine.received(reading.read_bytes(nbytes), self.listener.loop.time())
+        now_s = self.listener.loop.time()
+        received_s = now_s
+        if self.machine.state is ConnectionState.NEW:
+            # It may have waited in the backlog, or while the node was starting.
+            received_s -= unread_age_s(self.descriptor)
+        self.machine.received(reading.read_bytes(nbytes), now_s, received_s)
         self.update_charge()
 
     def pause_writing(self) -> None:
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -244,9 +244,15 @@
 
     # Events.
 
-    def received(self, data: bytes | memoryview, now_s: float) -> None:
-        """Handle bytes from the client, which are copied."""
-        self.now_s = self.last_received_s = now_s
+    def received(
+        self, data: bytes | memoryview, now_s: float, received_s: float | None = None
+    ) -> None:
+        """Handle bytes from the client, which are copied.
+
+        `received_s`: when the system received the last of them, if not now.
+        """
+        self.now_s = now_s
+        self.last_received_s = now_s if received_s is None else received_s
         self.received_bytes += len(data)
         if self.input_ended:
             return
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -5,6 +5,8 @@
 import array
 import fcntl
 import select
+import socket
+import struct
 import termios
 
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -38,3 +40,20 @@
     except OSError:
         return 0
     return count[0]
+
+
+# Of struct tcp_info (linux/tcp.h): how long ago bytes were last received (ms).
+_LAST_DATA_RECEIVED = struct.Struct("=52xI")
+MS_PER_S = 1000.0
+
+
+def unread_age_s(descriptor: int) -> float:
+    """Return how long ago the system received the last bytes of a socket; 0 where it does not tell."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
+        return float(_LAST_DATA_RECEIVED.unpack(info)[0]) / MS_PER_S
+    except (OSError, struct.error):
+        return 0.0
+    finally:
+        sock.detach()  # its owner closes it
--- /dev/null
+++ b/tests/pressure/test_unread_requests.py
@@ -0,0 +1,31 @@
+"""The time in which a request waited unread is the client's time too."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.net import WAIT_S, ScriptedServer, field, request, run, running
+
+WAITED_S = 0.4
+TIMEOUT_MS = 2000
+# By the standing terms, a server may be told so much more than the client has left.
+SLACK_MS = 150
+
+
+def test_a_request_that_waited_in_the_backlog_is_not_given_its_whole_time() -> None:
+    async def test() -> None:
+        server = await ScriptedServer().start()
+        async with running(server) as stand:
+            stand.node.listener.opened = False  # as while a new process waits for its list
+            stand.node.listener.pause_accepting()
+            client = await stand.client()
+            client.writer.write(request(timeout=f"{TIMEOUT_MS}m"))
+            await asyncio.sleep(WAITED_S)
+            stand.node.listener.open()
+            assert (await client.answer())[0] == 200
+            head = await asyncio.wait_for(server.requests.get(), WAIT_S)
+            told = field(head, b"Request-Timeout")
+            assert told is not None
+            assert int(told[:-1]) <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
+
+    run(test())
--- a/tests/trial/test_soak.py
+++ b/tests/trial/test_soak.py
@@ -9,7 +9,7 @@
 from tests.net import run
 
 # With and without a crowd, one that comes again too; each kind of signals and faults at least once.
-SEEDS = (1, 2, 3, 5, 9, 21)
+SEEDS = (1, 2, 3, 5, 8, 9, 21)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
