--- a/review/10/case.py
+++ b/review/10/case.py
@@ -43,27 +43,33 @@
         if self.was_watched.is_set():
             await super().watch(target, reader, writer)
             return
-        self.silent_since_s = time.monotonic()
-        self.was_watched.set()
-        if not self.trouble:
-            await super().watch(target, reader, writer)
-            return
         line = self.list_bytes(self.servers, True)
-        self.record.note(f"the watch falls silent within a list of {len(line)} bytes")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        writer.write(b"%x\r\n%b" % (len(line) + 1, line[: len(line) - len(line) // 50]))
+        if self.trouble:
+            self.record.note(f"the watch falls silent within a list of {len(line)} bytes")
+            writer.write(b"%x\r\n%b" % (len(line) + 1, line[: len(line) - len(line) // 50]))
+        else:
+            self.record.note(f"the watch begins with a list of {len(line)} bytes")
+            self.write(writer, line)
+            self.watches.add(writer)
+        await writer.drain()
+        self.silent_since_s = time.monotonic()
+        self.was_watched.set()
         await reader.read()
 
 
-async def look_up(port: int, number: int, outcomes: Counter[str]) -> None:
+async def look_up(record: Record, port: int, number: int, outcomes: Counter[str]) -> None:
     """Send a request."""
     headers = deployment.client_headers(number, TIMEOUT_MS)
+    record.note(f"client of {headers['Request-Id']} sends")
     try:
         async with asyncio.timeout(TIMEOUT_MS / 1000 + deployment.ANSWER_SLACK_S):
             message = await deployment.get(port, f"/lookup/k{number}", headers)
-        outcomes[str(message.status)] += 1
+        outcome = str(message.status)
     except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-        outcomes[type(error).__name__] += 1
+        outcome = type(error).__name__
+    outcomes[outcome] += 1
+    record.note(f"client of {headers['Request-Id']}: {outcome}")
 
 
 def allow_descriptors(count: int) -> None:
@@ -100,7 +106,7 @@
         discovery.tell(servers[:DRAINING])
         record.note(f"s-0001 to s-{DRAINING:04} drain; discovery has it, and answers each new call")
         while time.monotonic() < since_s + WATCHED_S:
-            tasks.append(asyncio.create_task(look_up(node.port, len(tasks), outcomes)))
+            tasks.append(asyncio.create_task(look_up(record, node.port, len(tasks), outcomes)))
             await asyncio.sleep(1 / REQUESTS_PER_S)
         await asyncio.gather(*tasks)
     limit_s = TOLD_S + GRACE_S + SLACK_S
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -33,6 +33,7 @@
         headers = deployment.client_headers(number, TIMEOUT_MS)
         writer.write(deployment.request_bytes("GET", f"/lookup/k{number}", headers))
         sent_s = time.monotonic()
+        self.record.note(f"client of {headers['Request-Id']} sends")
         got = "nothing"
         try:
             async with asyncio.timeout(TIMEOUT_MS / 1000 + deployment.ANSWER_SLACK_S):
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -475,10 +475,12 @@
     """Run a case, write its record beside its file, and exit with the verdict."""
     record, trouble = Record(), os.environ.get("TROUBLE", "1") != "0"
     record.note("with the disruption" if trouble else "without the disruption")
+    # The loop ends the case's tasks then, and with them the processes that they started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), limit_s))
         verdict = HELD if held else BROKEN
-    except (CouldNotRunError, OSError, TimeoutError) as error:
+    except Exception as error:  # whatever fails in the case itself is no verdict on the node
         record.note(f"{type(error).__name__}: {error}")
         verdict = COULD_NOT_RUN
     record.note(VERDICTS[verdict])
