End a streamed answer that may be short by its client's deadline

Cause: such an answer was streamed 0.1 s after its first byte, whatever followed. The start of the stream cancels the attempt's timer and takes the request out of those in flight, so that only the scan for stalled streams was left, after 10 s of silence. The same where only the head had come by the objective, and where short memory makes an answer of 10 kB a stream.

The log said nothing; pool.response_stopped now does.

Change: an answer of unknown length is held back until it goes on for 0.1 s, for 1.5 s at most. A stream keeps its client's deadline while it may be short (64 KiB): past it, 350 ms of silence or under 32 kB/s end it. Long answers and classes that the settings stream are not limited.

Why it works: whichever of the limits took the timer's place, the client's deadline now stays with the response until it is whole or known to be long.

--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -52,12 +52,20 @@
     source: str | None = None
     key_secret: bytes = b""  # for hashing the keys of requests; the same at all nodes
 
+    # The classes whose responses have no deadline once they have begun.
+    streamed_classes: frozenset[bytes] = frozenset()
+
     raw: dict[str, Any] = field(default_factory=dict, compare=False)  # the parsed file
 
     def tenant_index(self, name: bytes | None) -> int | None:
         """Return a tenant's index; None for an unknown name, 0 if no tenants are configured."""
         return self.tenants.get(name or self.default_tenant or b"") if self.tenants else 0
 
+    @property
+    def streamed_class_indexes(self) -> frozenset[int]:
+        """The indexes of `streamed_classes`."""
+        return frozenset(self.classes[name] for name in self.streamed_classes)
+
     @property
     def longest_deadline_ms(self) -> float:
         """The longest deadline of all request classes."""
@@ -121,6 +129,9 @@
             known=dict(raw.get("known") or {}),
             settings=read_settings(json.dumps(settings).encode()),
             classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
+            streamed_classes=frozenset(
+                c["Name"].encode() for c in settings["Classes"] if c.get("Stream")
+            ),
             tenants={c["Name"].encode(): i for i, c in enumerate(settings.get("Customers", ()))},
             kinds={name: i for i, name in enumerate(settings.get("Kinds", ()))},
             zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
--- a/badgercart/core/ports.py
+++ b/badgercart/core/ports.py
@@ -170,4 +170,6 @@
     request_name: bytes = b""  # its Request-Id, for people
     complete: bool = True  # otherwise `RequestPipeline.request_completed` follows
     response_window_ms: float = 0.0  # time for a response, counted from the completion
+    # Its response is streamed, and has no deadline once it has begun.
+    streams_response: bool = False
     is_recorded: bool = False  # by itself, in the ledger of requests that must not run twice
--- a/badgercart/core/request_pipeline.py
+++ b/badgercart/core/request_pipeline.py
@@ -357,6 +357,13 @@
         """
         return self.policy.latest_send_ms(request_id, attempt_number) - MAX_HOLD_UP_MS
 
+    def response_deadline_ms(self, request_id: int) -> float:
+        """Return the latest clock time for a short response to be complete; infinite: none."""
+        in_flight = self.in_flight.get(request_id)
+        if in_flight is None or in_flight.request.streams_response:
+            return math.inf
+        return in_flight.request.deadline_ms
+
     def attempt_ended(
         self,
         request_id: int,
--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -67,6 +67,7 @@
         ledger: RequestLedger | None = None,
     ) -> None:
         self.config = config
+        self.streamed_class_indexes = config.streamed_class_indexes
         self.pipeline = pipeline
         self.endpoint_table = endpoint_table
         self.stopping = False
@@ -83,7 +84,7 @@
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, pipeline.attempt_ended,
             pipeline.response_started, self.memory_budget, config.source, pipeline.is_awaited,
-            pipeline.latest_write_ms,
+            pipeline.latest_write_ms, pipeline.response_deadline_ms,
         )  # fmt: skip
         endpoint_table.on_change.append(self.pool.update)
         reader = platform_request_reader(config, stream_responses=True)
@@ -121,6 +122,7 @@
             request_name=request.request_name,
             complete=complete,
             response_window_ms=request.timeout_ms - RESPONSE_MARGIN_MS,
+            streams_response=request.class_index in self.streamed_class_indexes,
             is_recorded=must_not_run_twice and age_ms is None,
         )
         self.pipeline.accept(client.request_id, incoming, client, self.pool)
@@ -159,6 +161,7 @@
     def apply_config(self, config: Config) -> None:
         """Use another configuration. Requests that are already received keep the old one."""
         self.config = config
+        self.streamed_class_indexes = config.streamed_class_indexes
         self.listener.request_reader = platform_request_reader(config, stream_responses=True)
         self.pool.set_timeouts(config.dial_timeout, config.idle_timeout)
 
--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -29,8 +29,10 @@
     CONNECT_FAILED,
     NO_DESCRIPTORS,
     REPEAT_TOO_LATE,
+    RESPONSE_STOPPED,
     UPLOAD_TIMED_OUT,
 )
+from badgercart.upstream.response_progress import MAX_SILENCE_MS, MS_PER_S
 from badgercart.upstream.server_connection import Attempt, Server, ServerConnection
 from badgercart.upstream.stalled_streams import StalledStream, longest_stalled
 
@@ -104,6 +106,11 @@
     return math.inf
 
 
+def no_deadline(request_id: int) -> float:
+    """Return infinity, where nothing limits when a response has to be complete."""
+    return math.inf
+
+
 def reject_streaming(
     request_id: int,
     attempt_number: int,
@@ -130,8 +137,10 @@
         source_address: str | None = None,  # the local address of connections
         is_awaited: Callable[[int], bool] = assume_awaited,
         latest_write_ms: Callable[[int, int], float] = any_time,
+        response_deadline_ms: Callable[[int], float] = no_deadline,
     ) -> None:
         self.loop = loop
+        self.response_deadline_ms = response_deadline_ms
         self.is_awaited = is_awaited
         self.latest_write_ms = latest_write_ms
         self.local_address = (source_address, 0) if source_address else None
@@ -488,6 +497,7 @@
             else:
                 is_over = is_stalled and now - connection.last_progress_ms > SERVER_STALL_TIMEOUT_MS
             if is_over:
+                self.log_stopped(connection, attempt)
                 self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
         before = now - self.idle_timeout.limit_ms
         for server in self.servers.values():
@@ -507,11 +517,73 @@
         if attempt.phase is AttemptPhase.STREAMING_REQUEST:
             UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
         elif connection is not None and connection.exchange.awaits_long_body:
-            connection.start_streaming()
-            return
+            if self.go_on(attempt, connection):
+                return
+            self.log_stopped(connection, attempt)
         # Where no connection was established in the whole time, nothing was sent.
         self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
 
+    def go_on(self, attempt: Attempt, connection: ServerConnection) -> bool:
+        """Go on with a response that has begun and may be long; return whether that makes sense.
+
+        A part of its body is held back up to the client's deadline, as its server may have stopped.
+        """
+        now, deadline_ms = now_ms(), self.response_deadline_ms(attempt.request_id)
+        if now < deadline_ms < math.inf and connection.exchange.can_stream:
+            attempt.past_deadline = False
+            attempt.timer = self.loop.call_later(
+                (deadline_ms - now) / MS_PER_S, self.on_timeout, attempt
+            )
+            return True
+        if (
+            now >= max(deadline_ms, connection.progress.stops_at_ms)
+            and connection.exchange.may_be_short
+        ):
+            return False
+        connection.start_streaming()
+        return True
+
+    def watch_short_stream(self, attempt: Attempt, deadline_ms: float) -> None:
+        """Have a streamed response end by its client's deadline, if it is short and has stopped."""
+        attempt.deadline_ms, attempt.past_deadline = deadline_ms, False
+        if deadline_ms < math.inf:
+            self.check_short_stream_after(attempt, deadline_ms - now_ms())
+
+    def check_short_stream_after(self, attempt: Attempt, delay_ms: float) -> None:
+        """Set when to look next whether a streamed response has stopped."""
+        attempt.timer = self.loop.call_later(
+            max(0.0, delay_ms) / MS_PER_S, self.check_short_stream, attempt
+        )
+
+    def check_short_stream(self, attempt: Attempt) -> None:
+        """End a streamed response past its deadline that has stopped and may be short."""
+        connection = attempt.connection
+        if connection is None or not connection.exchange.may_be_short:
+            return
+        waits_ms = 0.0
+        if connection.read_paused:  # its client is the slow side
+            waits_ms = MAX_SILENCE_MS
+        elif connection.exchange.body_length is None:
+            waits_ms = connection.progress.stops_at_ms - now_ms()
+        if waits_ms > 0:
+            attempt.past_deadline = False
+            self.check_short_stream_after(attempt, waits_ms)
+        elif not attempt.past_deadline:
+            attempt.past_deadline = True
+            self.check_short_stream_after(attempt, FINAL_READ_DELAY_S * MS_PER_S)
+        else:
+            self.log_stopped(connection, attempt)
+            self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
+
+    def log_stopped(self, connection: ServerConnection, attempt: Attempt) -> None:
+        """Log that a response is given up, as its server has stopped within it."""
+        RESPONSE_STOPPED(
+            server=attempt.server.endpoint,
+            request=attempt.request_id,
+            body=connection.progress.body_bytes,
+            silent=int(now_ms() - connection.progress.last_growth_ms),
+        )
+
     def cancel(self, request_id: int, attempt_number: int) -> None:
         """Cancel an attempt, if it is still open."""
         attempt = self.attempts.get((request_id, attempt_number))
--- a/badgercart/upstream/exchange.py
+++ b/badgercart/upstream/exchange.py
@@ -233,6 +233,11 @@
             and self.body_length is None
         )
 
+    @property
+    def may_be_short(self) -> bool:
+        """Whether the response may be, or is, one of `MAX_BODY_BYTES` at most."""
+        return max(self.body_bytes, self.body_length or 0) <= MAX_BODY_BYTES
+
     @property
     def awaits_long_body(self) -> bool:
         """Whether the head of a response has arrived whose body may be too large to be buffered.
--- a/badgercart/upstream/log_events.py
+++ b/badgercart/upstream/log_events.py
@@ -36,6 +36,12 @@
     "a repeat was not sent to %(server)s: its connection came up too late",
     "Servers would not recognize it as a repeat any more. The request is ended. Look at why connections come up late.",
 )
+RESPONSE_STOPPED = define_event(
+    "pool.response_stopped",
+    logging.WARNING,
+    "server %(server)s stopped within a response: %(body)d bytes of its body came, then nothing for %(silent)d ms",
+    "The request is ended; a client that has got a part sees its connection end. Look at that server: it hangs.",
+)
 UPLOAD_TIMED_OUT = define_event(
     "pool.upload_timed_out",
     logging.WARNING,
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -26,12 +26,15 @@
     UpstreamRequest,
 )
 from badgercart.upstream.log_events import MALFORMED_ANSWER
+from badgercart.upstream.response_progress import MS_PER_S, ResponseProgress
 
 if TYPE_CHECKING:
     from badgercart.upstream.connection_pool import ServerPool
 
-# How long a response of unknown length is buffered after its first byte.
-MAX_BUFFERING_S = 0.1
+# A response of unknown length that goes on for longer than this after its first byte is streamed.
+MIN_STREAMED_DURATION_MS = 100.0
+# How long a part of it is held back while nothing follows. From 2 s on it would count as lost.
+MAX_HOLD_BACK_MS = 1500.0
 # After a read of this size, more may follow at once.
 MIN_FULL_READ_BYTES = MIN_READ_BYTES
 
@@ -97,6 +100,7 @@
         self.sink: ResponseSink | None = None  # the destination of a streamed response
         self.output = OutputBuffer()
         self.read_paused = False
+        self.progress = ResponseProgress()
         self.last_progress_ms = 0.0  # when a part of a streamed body was last forwarded
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -149,6 +153,7 @@
             AttemptPhase.SENT if request.upload is None else AttemptPhase.STREAMING_REQUEST
         )
         self.exchange.message_limit_bytes = self.pool.message_limit_bytes
+        self.progress.reset()
         remaining_ms = attempt.deadline_ms - now_ms()
         self.output.write(
             self.exchange.start_request(
@@ -218,6 +223,7 @@
         attempt.phase = AttemptPhase.STREAMING_RESPONSE
         self.last_progress_ms = now_ms()
         pool.cancel_timers(attempt)
+        deadline_ms = pool.response_deadline_ms(attempt.request_id)
         header_section, elapsed_ms = self.exchange.start_streaming(), now_ms() - attempt.started_ms
         self.sink = pool.on_response_started(
             attempt.request_id, attempt.number, self.server.id, elapsed_ms, header_section
@@ -227,6 +233,7 @@
             return
         pool.memory_budget.stream_count += 1
         self.sink.set_callbacks(self.on_space, self.on_abandoned)
+        pool.watch_short_stream(attempt, deadline_ms)
         self.forward_response()
 
     def forward_response(self) -> None:
@@ -299,17 +306,27 @@
         result = self.exchange.receive(read_buffer.read_bytes(nbytes))
         if result is not None:
             self.handle_result(result)
-        elif self.exchange.streaming:
+            return
+        if self.exchange.headers_complete:
+            self.progress.observe(self.exchange.body_bytes, now_ms())
+        if self.exchange.streaming:
             self.forward_response()
         elif self.exchange.must_stream:
             self.start_streaming()
         else:
             self.update_charge()
-            attempt = self.attempt
-            if attempt is not None and attempt.streaming_timer is None and self.exchange.can_stream:
-                attempt.streaming_timer = self.pool.loop.call_later(
-                    MAX_BUFFERING_S, self.start_streaming
-                )
+            if self.exchange.can_stream and self.attempt is not None:
+                self.hold_back(self.attempt)
+
+    def hold_back(self, attempt: Attempt) -> None:
+        """Hold back a response of unknown length until it goes on: its server may have stopped."""
+        progress, pool = self.progress, self.pool
+        if progress.last_growth_ms - progress.body_started_ms >= MIN_STREAMED_DURATION_MS:
+            self.start_streaming()
+        elif attempt.streaming_timer is None:
+            has_deadline = pool.response_deadline_ms(attempt.request_id) < math.inf
+            hold_ms = MAX_HOLD_BACK_MS if has_deadline else MIN_STREAMED_DURATION_MS
+            attempt.streaming_timer = pool.loop.call_later(hold_ms / MS_PER_S, self.start_streaming)
 
     def yield_turn(self) -> None:
         """Read on in the next iteration of the loop, which would else read while there is more."""
--- /dev/null
+++ b/tests/upstream/test_stopped_responses.py
@@ -0,0 +1,254 @@
+"""A server that stops within a response: its client gets an end in time, and a long response is not cut."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Callable
+
+import pytest
+
+from badgercart.core.memory_budget import MemoryBudget
+from badgercart.policy.events import AttemptResult
+from badgercart.upstream import connection_pool
+from badgercart.upstream.exchange import MAX_BODY_BYTES
+from badgercart.upstream.response_progress import (
+    MAX_SILENCE_MS,
+    MIN_RESPONSE_RATE_BYTES_PER_S,
+    ResponseProgress,
+)
+from badgercart.upstream.server_connection import MIN_STREAMED_DURATION_MS
+from tests.bulk.test_streams import read_body, read_head
+from tests.net import CLASSES, Client, ScriptedServer, request, run, running
+
+OBJECTIVE_MS = 150.0
+DEADLINE_MS = 600.0
+TIMEOUT = f"{DEADLINE_MS:.0f}m"
+# From the first byte on, until what is given after it is streamed.
+GAP_S = 1.5 * MIN_STREAMED_DURATION_MS / 1000
+AFTER_DEADLINE_S = (DEADLINE_MS + 2 * MAX_SILENCE_MS) / 1000
+HEADS = {
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "until close": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+}
+
+
+def framed(form: str, body: bytes) -> bytes:
+    """Return a part of a body in a framing that does not state its length."""
+    return b"%x\r\n%b\r\n" % (len(body), body) if form == "chunked" else body
+
+
+def finish(form: str, writer: asyncio.StreamWriter) -> None:
+    """End a body in its framing."""
+    if form == "chunked":
+        writer.write(b"0\r\n\r\n")
+    else:
+        writer.close()
+
+
+class StoppingServer(ScriptedServer):
+    """A server that writes a head and parts of a body, `GAP_S` apart, and stops until `go_on`."""
+
+    def __init__(self, head: bytes, parts: list[bytes]) -> None:
+        super().__init__(type(self).stop_within)
+        self.head, self.parts = head, parts
+        self.stopped, self.go_on = asyncio.Event(), asyncio.Event()
+        self.rest: Callable[[asyncio.StreamWriter], None] = lambda _: None
+
+    async def stop_within(self, _: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(self.head)
+        for part in self.parts:
+            writer.write(part)
+            await asyncio.sleep(GAP_S)
+        self.stopped.set()
+        await self.go_on.wait()
+        with contextlib.suppress(ConnectionError):
+            self.rest(writer)
+            await writer.drain()
+
+
+@pytest.fixture(autouse=True)
+def _no_scan(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have nothing else end a stream whose server has stopped."""
+    monkeypatch.setattr(connection_pool, "SERVER_STALL_TIMEOUT_MS", math.inf)
+
+
+@pytest.mark.parametrize("cls", CLASSES)
+@pytest.mark.parametrize("form", HEADS)
+def test_a_server_that_stops_after_its_first_bytes_costs_a_whole_answer_in_time(
+    form: str, cls: str
+) -> None:
+    # Guards against half an answer and no end of it, for as long as the server hangs.
+    async def test() -> None:
+        server = StoppingServer(HEADS[form], [framed(form, b"half")])
+        await server.start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            status, _, body = await client.ask(request(cls, timeout=TIMEOUT))
+            assert status == (502 if cls == "pay" else 503) and b"half" not in body
+            assert (await stand.outcome()).result is AttemptResult.TIMEOUT
+            server.go_on.set()
+
+    run(test())
+
+
+async def expect_cut_off(client: Client) -> None:
+    """Expect a head, and an end of the connection that shows that its body is incomplete."""
+    head = await read_head(client.reader)
+    assert head.startswith(b"HTTP/1.1 200")
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+        await read_body(client.reader, head)
+
+
+@pytest.mark.parametrize("parts", [0, 3], ids=["after the head", "after several parts"])
+@pytest.mark.parametrize("form", HEADS)
+def test_a_stream_that_stops_while_it_may_be_short_is_cut_off_in_time(
+    form: str, parts: int
+) -> None:
+    # Guards against a client that waits for the rest of what it got, for as long as the server hangs.
+    async def test() -> None:
+        server = StoppingServer(HEADS[form], [framed(form, b"part")] * parts)
+        await server.start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout=TIMEOUT))
+            await expect_cut_off(client)
+            assert (await stand.outcome()).result is AttemptResult.TIMEOUT
+            server.go_on.set()
+
+    run(test())
+
+
+def test_a_short_answer_that_is_streamed_for_lack_of_memory_is_cut_off_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against the same wait for an answer whose length is stated, where memory is short.
+    monkeypatch.setattr(MemoryBudget, "message_limit_bytes", 2048)
+
+    async def test() -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % MAX_BODY_BYTES
+        server = StoppingServer(head, [b"x" * 4096])
+        await server.start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout=TIMEOUT))
+            await expect_cut_off(client)
+            server.go_on.set()
+
+    run(test())
+
+
+LONG_BODY = b"x" * (3 * MAX_BODY_BYTES)
+
+
+@pytest.mark.parametrize("form", ["length", *HEADS])
+def test_a_long_answer_that_pauses_past_its_clients_time_is_not_cut_off(form: str) -> None:
+    # Guards against a time limit that ends what is allowed to be long.
+    begun = LONG_BODY[: MAX_BODY_BYTES + 1]
+    rest = LONG_BODY[len(begun) :]
+    length_head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG_BODY)
+
+    async def test() -> None:
+        part = begun if form == "length" else framed(form, begun)
+        server = StoppingServer(HEADS.get(form, length_head), [part])
+
+        def write_rest(writer: asyncio.StreamWriter) -> None:
+            writer.write(rest if form == "length" else framed(form, rest))
+            if form != "length":
+                finish(form, writer)
+
+        server.rest = write_rest
+        await server.start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout=TIMEOUT))
+            head = await read_head(client.reader)
+            await server.stopped.wait()
+            await asyncio.sleep(AFTER_DEADLINE_S)
+            server.go_on.set()
+            assert await read_body(client.reader, head) == LONG_BODY
+
+    run(test())
+
+
+@pytest.mark.parametrize("form", HEADS)
+def test_an_answer_that_goes_on_past_its_clients_time_is_not_cut_off(form: str) -> None:
+    # Guards against a time limit that takes a long answer at the rate of slow peers for a short one.
+    part = b"x" * (2 * MIN_RESPONSE_RATE_BYTES_PER_S // 20)
+    count = len(LONG_BODY) // len(part)
+
+    async def script(_server: ScriptedServer, _: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEADS[form])
+        for _part in range(count):
+            writer.write(framed(form, part))
+            await asyncio.sleep(1 / 20)
+        finish(form, writer)
+
+    async def test() -> None:
+        server = await ScriptedServer(script).start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout="300m"))
+            head = await read_head(client.reader)
+            assert await read_body(client.reader, head) == part * count
+
+    run(test())
+
+
+def test_an_answer_of_a_streamed_class_has_no_deadline_once_it_has_begun() -> None:
+    # Guards against a time limit on the classes whose answers are streams by their settings.
+    async def test() -> None:
+        server = StoppingServer(HEADS["chunked"], [framed("chunked", b"first")])
+        server.rest = lambda writer: finish("chunked", writer)
+        await server.start()
+        async with running(
+            server, aim=OBJECTIVE_MS, streamed_classes=frozenset({b"find"})
+        ) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout=TIMEOUT))
+            head = await read_head(client.reader)
+            assert await client.reader.readexactly(10) == b"5\r\nfirst\r\n"
+            await asyncio.sleep(AFTER_DEADLINE_S)
+            server.go_on.set()
+            assert await read_body(client.reader, head) == b""
+
+    run(test())
+
+
+def test_a_part_of_an_answer_is_held_back_for_less_than_two_seconds() -> None:
+    # Guards against a long answer whose first bytes wait here for the rest of its client's time.
+    async def test() -> None:
+        server = StoppingServer(HEADS["chunked"], [framed("chunked", b"first")])
+        await server.start()
+        async with running(server) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            await server.stopped.wait()
+            async with asyncio.timeout(2.0 - GAP_S):
+                await client.reader.readuntil(b"first")
+            server.go_on.set()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("growth", "stops_at_ms"),
+    [
+        ([], math.inf),
+        ([(0, 1000.0)], 1000.0 + MAX_SILENCE_MS),
+        ([(0, 1000.0), (0, 1200.0)], 1000.0 + MAX_SILENCE_MS),
+        ([(60_000, 1000.0)], 1000.0 + MAX_SILENCE_MS),
+        ([(1, 1000.0), (60_000, 1500.0), (60_000, 1800.0)], 1500.0 + MAX_SILENCE_MS),
+        ([(1, 1000.0), (3_200, 9000.0)], 1100.0 + MAX_SILENCE_MS),
+    ],
+    ids=["nothing", "head", "framing alone", "in a moment", "then silence", "a trickle"],
+)
+def test_a_response_stops_by_silence_or_by_a_rate_that_is_too_low(
+    growth: list[tuple[int, float]], stops_at_ms: float
+) -> None:
+    # Guards against bytes that came in a moment, or a trickle without end, that excuse a silence.
+    progress = ResponseProgress()
+    for body_bytes, at_ms in growth:
+        progress.observe(body_bytes, at_ms)
+    assert progress.stops_at_ms == stops_at_ms
