Reset an old client's connection where its streamed answer is cut off

What callers saw: an HTTP/1.0 client gets an answer of unknown length up to the end of its connection. Where the server broke off or stopped, it saw an ordinary end, and took a part of the answer for all of it.

Cause: abort_body closes the socket, and a close with nothing unread is a plain end.

Evidence: test_an_answer_that_is_cut_off_for_an_old_client_ends_with_a_reset. Before, both of its clients read an ordinary end ("DID NOT RAISE ConnectionResetError").

Change: from the head of such an answer to its end, SO_LINGER with no time is set on the client's socket.

Why it works: whatever closes the socket meanwhile, also the end of the process, resets the connection; it is taken back before the last byte of a whole answer is written.

Measured: the new test's two cases held, and tests/bulk, tests/frontends with whole answers to such clients.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -33,6 +33,7 @@
 from badgercart.frontends.http.socket_input import (
     DISCONNECT_EVENTS,
     poll_socket,
+    set_reset_on_close,
     undelivered_bytes,
     unread_age_s,
     unread_bytes,
@@ -208,6 +209,7 @@
         """Begin a streamed response."""
         self.request_id = 0
         self.machine.start_response(self.listener.loop.time(), header_section)
+        self.reset_unless_finished(True)
         self.update_charge()
         return self
 
@@ -236,8 +238,14 @@
     def finish_body(self) -> None:
         """End the response."""
         self.on_space = self.on_abandoned = do_nothing
+        self.reset_unless_finished(False)
         self.machine.finish_response(self.listener.loop.time())
 
+    def reset_unless_finished(self, enabled: bool) -> None:
+        """Have any end of the connection be a reset, where a plain one would end the response."""
+        if self.machine.ends_by_close and not self.transport.is_closing():
+            set_reset_on_close(self.descriptor, enabled)
+
     def abort_body(self) -> None:
         """Close the connection, so that the client notices that its response is incomplete."""
         self.on_space = self.on_abandoned = do_nothing
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -187,7 +187,7 @@
     """
 
     __slots__ = (
-        "__weakref__", "advancing", "body", "body_arrival", "chunked_response", "driver", "has_received_request", "headers",
+        "__weakref__", "advancing", "body", "body_arrival", "chunked_response", "driver", "ends_by_close", "has_received_request", "headers",
         "input_ended", "input_scheduled", "is_serving", "keep_alive", "last_received_s", "now_s", "open_request_names", "parser",
         "pending", "pending_bytes", "reading_paused", "received_bytes", "receiving", "receiving_since_s", "request", "request_bytes", "served_bytes", "state",
         "streaming_request", "unparsed", "upload", "upload_stalled", "url", "waiting_since", "write_blocked",
@@ -241,6 +241,7 @@
         self.body_arrival: BodyArrival | None = None  # of the streamed body
         self.upload_stalled = False  # the streamed body waits for capacity
         self.chunked_response = False  # the current response uses chunked encoding
+        self.ends_by_close = False  # only the end of the connection ends the current response
 
     # Events.
 
@@ -746,9 +747,8 @@
         is_http10 = request is not None and request.is_http10
         self.release_name(request)
         self.chunked_response = header_section.body_length is None and not is_http10
-        self.keep_alive = self.should_keep_alive() and not (
-            is_http10 and header_section.body_length is None
-        )
+        self.ends_by_close = header_section.body_length is None and is_http10
+        self.keep_alive = self.should_keep_alive() and not self.ends_by_close
         framing = b"Transfer-Encoding: chunked\r\n" if self.chunked_response else b""
         if header_section.body_length is not None:
             framing = b"Content-Length: %d\r\n" % header_section.body_length
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -1,4 +1,7 @@
-"""What a socket holds: of input that the event loop has not read, and of undelivered output."""
+"""What a socket holds: of input that the event loop has not read, and of undelivered output.
+
+And how it ends.
+"""
 
 from __future__ import annotations
 
@@ -57,3 +60,19 @@
         return 0.0
     finally:
         sock.detach()  # its owner closes it
+
+
+# Of struct linger (sys/socket.h): whether a close waits, and for how long (s).
+_LINGER = struct.Struct("ii")
+
+
+def set_reset_on_close(descriptor: int, enabled: bool) -> None:
+    """Set whether a close of a socket resets its connection, which drops undelivered output.
+
+    Source: socket(7), `SO_LINGER`.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(int(enabled), 0))
+    finally:
+        sock.detach()  # its owner closes it
--- a/tests/upstream/test_stopped_responses.py
+++ b/tests/upstream/test_stopped_responses.py
@@ -252,3 +252,23 @@
     for body_bytes, at_ms in growth:
         progress.observe(body_bytes, at_ms)
     assert progress.stops_at_ms == stops_at_ms
+
+
+@pytest.mark.parametrize("end", ["stopped", "reset"])
+def test_an_answer_that_is_cut_off_for_an_old_client_ends_with_a_reset(end: str) -> None:
+    # Guards against an answer up to the close whose cut looks like its end, as HTTP/1.0 clients get it.
+    async def test() -> None:
+        server = StoppingServer(HEADS["chunked"], [framed("chunked", b"part")] * 3)
+        if end == "reset":
+            server.rest = lambda writer: writer.transport.abort()
+            server.go_on.set()
+        await server.start()
+        async with running(server, aim=OBJECTIVE_MS) as stand:
+            client = await stand.client()
+            client.writer.write(request(timeout=TIMEOUT).replace(b"HTTP/1.1", b"HTTP/1.0"))
+            assert b"chunked" not in await read_head(client.reader)
+            with pytest.raises(ConnectionResetError):
+                await client.end()
+            server.go_on.set()
+
+    run(test())
