Count silence within a long list from its last byte

Cause: a call to discovery was waited for as long as its bytes may take at 64 kB/s, counted from its start, and a watch within a list likewise. A list that had come in a moment earned seconds of silence. The same property kept the first of three open calls, or dropped it though its list still came.

Evidence: a trace of both limits at each read in the case, before any change: after the last byte, 0.03 s after the start, they stand at 8.23 and 8.26 s, and the next call is opened after 8.23 s. The log said "no answer in 0.3 s"; it now names the bytes and the silence.

Change: the next call is opened beside one whose list has begun once nothing has come for 1 s; a watch that is the only call ends after 3 s without a byte within a list. The first call is kept as long as it brings bytes, and a watch's first list may come at 16 kB/s, so that a slow list is not fetched for ever.

Why it works: whatever has come before, silence is measured from the last byte, and 3 s of it leave time for two calls that hang. Opening a call early gives up nothing: the first whole list is kept.

--- a/badgercart/discovery/catalog.py
+++ b/badgercart/discovery/catalog.py
@@ -29,8 +29,13 @@
 # must be known 6 s after its last line. A watch that is silent for this long is opened again; that
 # leaves half of the 6 s, enough for two calls that hang.
 WATCH_SILENCE_TIMEOUT_S = 3.0
-# A list that arrives at least this fast is waited for.
+# A list that arrives at least this fast is waited for, unless it stops.
 MIN_TRANSFER_BYTES_PER_S = 64_000
+# The next call is opened beside one whose list has begun and of which nothing more has arrived for
+# this long.
+LIST_SILENCE_TIMEOUT_S = 1.0
+# The first list of a watch may take this many times longer, as other calls are opened beside it.
+FIRST_LIST_PATIENCE = 4
 READ_CHUNK_BYTES = 65536
 
 
@@ -45,8 +50,9 @@
         """Start before the first byte of the response."""
         self.parser = httptools.HttpResponseParser(self)
         self.data = bytearray()
-        # Bytes of the body received so far.
+        # Bytes of the body received so far, and when the last of them was, on the loop's clock.
         self.size_bytes = 0
+        self.received_at_s = -math.inf
         self.complete = False
 
     def on_body(self, body: bytes) -> None:
@@ -75,7 +81,10 @@
             chunk = await reader.read(READ_CHUNK_BYTES)
         if not chunk:
             raise DiscoveryError("the connection ended")
+        size_bytes = self.size_bytes
         self.parser.feed_data(chunk)
+        if self.size_bytes > size_bytes:
+            self.received_at_s = asyncio.get_running_loop().time()
         if self.parser.get_status_code() not in (0, 200):
             raise DiscoveryError(f"status {self.parser.get_status_code()}")
         if len(self.data) > MAX_LIST_BYTES:
@@ -95,9 +104,26 @@
         self.task: asyncio.Task[None] | None = None
 
     @property
-    def adjusted_start_s(self) -> float:
-        """When the call started, later by the time that the bytes received so far may take."""
-        return self.started_at_s + self.body.size_bytes / MIN_TRANSFER_BYTES_PER_S
+    def silent_since_s(self) -> float:
+        """When a part of the list was last received; before the first, when the call started."""
+        return max(self.started_at_s, self.body.received_at_s)
+
+    def describe_delay(self, now_s: float) -> str:
+        """Return what is missing of the response, for the log."""
+        if not self.body.size_bytes:
+            return f"no answer in {now_s - self.started_at_s:.1f} s"
+        return (
+            f"{self.body.size_bytes} bytes of a list in {now_s - self.started_at_s:.1f} s, and no"
+            f" more for {now_s - self.silent_since_s:.1f} s"
+        )
+
+    def awaited_until_s(self, response_timeout_s: float) -> float:
+        """Return when the next call is due: the list has stopped, or arrives too slowly."""
+        transfer_s = self.body.size_bytes / MIN_TRANSFER_BYTES_PER_S
+        return min(
+            self.started_at_s + response_timeout_s + transfer_s,
+            self.silent_since_s + max(response_timeout_s, LIST_SILENCE_TIMEOUT_S),
+        )
 
 
 class Discovery:
@@ -177,7 +203,7 @@
             else:
                 # A list that arrives slowly, but still arrives, is waited for.
                 waits_until_s = (
-                    self.calls[-1].adjusted_start_s + self.next_call_after_s
+                    self.calls[-1].awaited_until_s(self.next_call_after_s)
                     if self.calls
                     else -math.inf
                 )
@@ -189,11 +215,13 @@
     def open(self, now_s: float) -> None:
         """Open a call, beside those that have received nothing."""
         if self.calls:
-            self.log_failure(f"no answer in {self.next_call_after_s:.1f} s")
+            self.log_failure(self.calls[-1].describe_delay(now_s))
         if len(self.calls) >= MAX_OPEN_CALLS:
             # Where the service works through calls in turn, the first is the next to get a
-            # response, unless it is lost. So the second is dropped while the first is recent.
-            self.drop([self.calls[now_s - self.calls[0].adjusted_start_s < OLDEST_CALL_TIMEOUT_S]])
+            # response, unless it is lost. So the second is dropped while the first is recent, or
+            # still brings more of its list.
+            silence_s = now_s - self.calls[0].silent_since_s
+            self.drop([self.calls[silence_s < OLDEST_CALL_TIMEOUT_S]])
         call = Call(self.version is None, now_s)
         self.calls.append(call)
         self.next_call_after_s = self.retry_state.call_opened(self.timing)
@@ -287,19 +315,20 @@
             # The first line has no deadline; instead `run` opens the next call beside this one.
             deadline_s = None
             if parser.partial:
-                deadline_s = (
-                    list_started_at_s
-                    + self.timing.response_timeout_s
-                    + (body.size_bytes - list_offset_bytes) / MIN_TRANSFER_BYTES_PER_S
-                )
+                transfer_s = (body.size_bytes - list_offset_bytes) / MIN_TRANSFER_BYTES_PER_S
+                deadline_s = list_started_at_s + self.timing.response_timeout_s
+                if call.first_received_at_s == math.inf:
+                    deadline_s += FIRST_LIST_PATIENCE * transfer_s
+                else:
+                    silence_ends_s = body.received_at_s + WATCH_SILENCE_TIMEOUT_S
+                    deadline_s = min(deadline_s + transfer_s, silence_ends_s)
             elif call.first_received_at_s < math.inf:
                 deadline_s = line_complete_at_s + WATCH_SILENCE_TIMEOUT_S
             try:
                 await body.read_more(reader, deadline_s)
             except TimeoutError:
                 if parser.partial:
-                    # Raises that the list is truncated, unless only its line break is missing.
-                    self.apply_lists(call, parser.end)
+                    self.apply_partial(call, parser)
                 raise
             received = self.apply_lists(call, lambda: parser.feed(body.take_data()))
             if received:
@@ -309,6 +338,19 @@
         self.apply_lists(call, parser.end)
         raise DiscoveryError("the watch ended")
 
+    def apply_partial(self, call: Call, parser: ListParser) -> None:
+        """Apply a list that has stopped arriving and lacks only its line break.
+
+        Raises DiscoveryError that it is truncated; the calls beside this one bring what it lacks.
+        """
+        version = self.version
+        try:
+            self.apply_lists(call, parser.end)
+        except DiscoveryError:
+            if self.calls != [call]:
+                self.version = version
+            raise
+
     def check_version(self, item: dict[str, Any]) -> None:
         """Raise ValueError for changes that come before the list in force.
 
