Take a list of discovery that ends with its connection

It was not ready, or kept its old list, and called the service again and again.

Cause: ResponseBody.read_more took each end of a connection for a failure.

Change: where no header frames the body, the end of the connection completes it. A reset still fails the call; what was cut is no valid JSON and is fetched again.

--- a/badgercart/discovery/catalog.py
+++ b/badgercart/discovery/catalog.py
@@ -37,6 +37,8 @@
 # The first list of a watch may take this many times longer, as other calls are opened beside it.
 FIRST_LIST_PATIENCE = 4
 READ_CHUNK_BYTES = 65536
+# Without any of these, a body ends with its connection (RFC 9112, section 6.3).
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 class DiscoveryError(Exception):
@@ -54,6 +56,13 @@
         self.size_bytes = 0
         self.received_at_s = -math.inf
         self.complete = False
+        # Whether only the end of the connection ends the body.
+        self.ends_by_close = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: ARG002 - the parser's signature
+        """Note a header that frames the body (a callback of the parser)."""
+        if name.lower() in FRAMING_HEADERS:
+            self.ends_by_close = False
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body (a callback of the parser)."""
@@ -80,7 +89,10 @@
         async with asyncio.timeout_at(deadline_s):
             chunk = await reader.read(READ_CHUNK_BYTES)
         if not chunk:
-            raise DiscoveryError("the connection ended")
+            if not self.ends_by_close or not self.size_bytes:
+                raise DiscoveryError("the connection ended")
+            self.complete = True
+            return
         size_bytes = self.size_bytes
         self.parser.feed_data(chunk)
         if self.size_bytes > size_bytes:
