Hold back the head of an answer of unknown length, and end a short stream within the slack

Cause: at the objective the head alone was passed on, and at the deadline the stream was ended at once, as its server had sent nothing since the head. Nothing tells such an answer from one whose server hangs.

Change: a head is held back like the first bytes of a body, up to the deadline, so that its end is a 503 or 502 and no cut. A stream that may be short is ended 350 ms past the deadline, inside the half second that a final answer may be late.

Why it works: while nothing has been passed on, nothing can be cut off; and what comes before the end of the slack counts.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -526,10 +526,10 @@
     def go_on(self, attempt: Attempt, connection: ServerConnection) -> bool:
         """Go on with a response that has begun and may be long; return whether that makes sense.
 
-        A part of its body is held back up to the client's deadline, as its server may have stopped.
+        One of unknown length is held back up to the client's deadline, as its server may have stopped.
         """
         now, deadline_ms = now_ms(), self.response_deadline_ms(attempt.request_id)
-        if now < deadline_ms < math.inf and connection.exchange.can_stream:
+        if now < deadline_ms < math.inf and connection.exchange.has_unknown_length:
             attempt.past_deadline = False
             attempt.timer = self.loop.call_later(
                 (deadline_ms - now) / MS_PER_S, self.on_timeout, attempt
@@ -544,10 +544,10 @@
         return True
 
     def watch_short_stream(self, attempt: Attempt, deadline_ms: float) -> None:
-        """Have a streamed response end by its client's deadline, if it is short and has stopped."""
+        """Have a streamed response end soon after its client's deadline, if it may be short and stops."""
         attempt.deadline_ms, attempt.past_deadline = deadline_ms, False
         if deadline_ms < math.inf:
-            self.check_short_stream_after(attempt, deadline_ms - now_ms())
+            self.check_short_stream_after(attempt, deadline_ms + MAX_SILENCE_MS - now_ms())
 
     def check_short_stream_after(self, attempt: Attempt, delay_ms: float) -> None:
         """Set when to look next whether a streamed response has stopped."""
--- a/badgercart/upstream/exchange.py
+++ b/badgercart/upstream/exchange.py
@@ -223,13 +223,12 @@
         )
 
     @property
-    def can_stream(self) -> bool:
-        """Whether the response could be streamed, though it need not be."""
+    def has_unknown_length(self) -> bool:
+        """Whether the head of a response has arrived that could be streamed, as it may be long."""
         return (
             self.may_stream
             and self.headers_complete
             and not self.streaming
-            and bool(self.body)
             and self.body_length is None
         )
 
--- a/badgercart/upstream/response_progress.py
+++ b/badgercart/upstream/response_progress.py
@@ -12,7 +12,7 @@
 
 # A final response may be written this long after the client's deadline.
 RESPONSE_SLACK_MS = 500.0
-# A server that adds nothing to its response for this long has stopped, once the deadline is over.
+# A server that adds nothing to its response for this long past the deadline has stopped.
 # The process may be held up for the rest of the slack.
 MAX_SILENCE_MS = RESPONSE_SLACK_MS - MAX_HOLD_UP_MS
 # So has one that sends its body more slowly on average: half of the rate of slow peers.
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -315,7 +315,7 @@
             self.start_streaming()
         else:
             self.update_charge()
-            if self.exchange.can_stream and self.attempt is not None:
+            if self.exchange.has_unknown_length and self.attempt is not None:
                 self.hold_back(self.attempt)
 
     def hold_back(self, attempt: Attempt) -> None:
@@ -325,8 +325,11 @@
             self.start_streaming()
         elif attempt.streaming_timer is None:
             has_deadline = pool.response_deadline_ms(attempt.request_id) < math.inf
-            hold_ms = MAX_HOLD_BACK_MS if has_deadline else MIN_STREAMED_DURATION_MS
-            attempt.streaming_timer = pool.loop.call_later(hold_ms / MS_PER_S, self.start_streaming)
+            if has_deadline or self.exchange.body:
+                hold_ms = MAX_HOLD_BACK_MS if has_deadline else MIN_STREAMED_DURATION_MS
+                attempt.streaming_timer = pool.loop.call_later(
+                    hold_ms / MS_PER_S, self.start_streaming
+                )
 
     def yield_turn(self) -> None:
         """Read on in the next iteration of the loop, which would else read while there is more."""
