Keep holding a young head back at the deadline, until its body comes or the server counts as stopped

Cause: at the deadline a head of less than 350 ms was passed on, as its server did not count as stopped yet; its body came after the check 350 ms later.

Change: what is held back at the deadline stays so until its server counts as stopped, which is inside the slack of half a second, and then ends as a 503 or 502. A body that comes meanwhile is streamed at once.

Why it works: nothing is passed on of an answer that may stop, so nothing can be cut off.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -526,21 +526,21 @@
     def go_on(self, attempt: Attempt, connection: ServerConnection) -> bool:
         """Go on with a response that has begun and may be long; return whether that makes sense.
 
-        One of unknown length is held back up to the client's deadline, as its server may have stopped.
+        One of unknown length is held back while it may be short and its server may have stopped.
         """
-        now, deadline_ms = now_ms(), self.response_deadline_ms(attempt.request_id)
-        if now < deadline_ms < math.inf and connection.exchange.has_unknown_length:
+        exchange, now = connection.exchange, now_ms()
+        deadline_ms = self.response_deadline_ms(attempt.request_id)
+        ends_ms = max(deadline_ms, connection.progress.stops_at_ms)
+        if exchange.may_be_short and now >= ends_ms:
+            return False
+        if exchange.has_unknown_length and deadline_ms < math.inf:
+            next_ms = ends_ms if now >= deadline_ms else deadline_ms
             attempt.past_deadline = False
             attempt.timer = self.loop.call_later(
-                (deadline_ms - now) / MS_PER_S, self.on_timeout, attempt
+                (next_ms - now) / MS_PER_S, self.on_timeout, attempt
             )
-            return True
-        if (
-            now >= max(deadline_ms, connection.progress.stops_at_ms)
-            and connection.exchange.may_be_short
-        ):
-            return False
-        connection.start_streaming()
+        else:
+            connection.start_streaming()
         return True
 
     def watch_short_stream(self, attempt: Attempt, deadline_ms: float) -> None:
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -321,15 +321,14 @@
     def hold_back(self, attempt: Attempt) -> None:
         """Hold back a response of unknown length until it goes on: its server may have stopped."""
         progress, pool = self.progress, self.pool
-        if progress.last_growth_ms - progress.body_started_ms >= MIN_STREAMED_DURATION_MS:
+        deadline_ms = pool.response_deadline_ms(attempt.request_id)
+        went_on_ms = progress.last_growth_ms - progress.body_started_ms
+        is_late = bool(self.exchange.body) and now_ms() >= deadline_ms
+        if is_late or went_on_ms >= MIN_STREAMED_DURATION_MS:
             self.start_streaming()
-        elif attempt.streaming_timer is None:
-            has_deadline = pool.response_deadline_ms(attempt.request_id) < math.inf
-            if has_deadline or self.exchange.body:
-                hold_ms = MAX_HOLD_BACK_MS if has_deadline else MIN_STREAMED_DURATION_MS
-                attempt.streaming_timer = pool.loop.call_later(
-                    hold_ms / MS_PER_S, self.start_streaming
-                )
+        elif attempt.streaming_timer is None and (deadline_ms < math.inf or self.exchange.body):
+            hold_ms = MAX_HOLD_BACK_MS if deadline_ms < math.inf else MIN_STREAMED_DURATION_MS
+            attempt.streaming_timer = pool.loop.call_later(hold_ms / MS_PER_S, self.start_streaming)
 
     def yield_turn(self) -> None:
         """Read on in the next iteration of the loop, which would else read while there is more."""
--- a/tests/upstream/test_stopped_responses.py
+++ b/tests/upstream/test_stopped_responses.py
@@ -20,7 +20,7 @@
 )
 from badgercart.upstream.server_connection import MIN_STREAMED_DURATION_MS
 from tests.bulk.test_streams import read_body, read_head
-from tests.net import CLASSES, Client, ScriptedServer, request, run, running
+from tests.net import CLASSES, WAIT_S, Client, ScriptedServer, request, run, running
 
 OBJECTIVE_MS = 150.0
 DEADLINE_MS = 600.0
@@ -272,18 +272,29 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    ("objective_ms", "head_ms", "body_ms"),
+    [
+        (OBJECTIVE_MS, 0.0, DEADLINE_MS - MAX_SILENCE_MS / 2),
+        (DEADLINE_MS, DEADLINE_MS - MAX_SILENCE_MS / 2, DEADLINE_MS + MAX_SILENCE_MS / 4),
+    ],
+    ids=["before", "after"],
+)
 @pytest.mark.parametrize("form", HEADS)
-def test_a_long_answer_whose_body_begins_late_arrives_whole(form: str) -> None:
+def test_a_long_answer_whose_body_begins_near_the_deadline_arrives_whole(
+    form: str, objective_ms: float, head_ms: float, body_ms: float
+) -> None:
     # Guards against a time limit that takes the pause between head and body for the end.
     async def script(_server: ScriptedServer, _: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(head_ms / 1000)
         writer.write(HEADS[form])
-        await asyncio.sleep((DEADLINE_MS - MAX_SILENCE_MS / 2) / 1000)
+        await asyncio.sleep((body_ms - head_ms) / 1000)
         writer.write(framed(form, LONG_BODY))
         finish(form, writer)
 
     async def test() -> None:
         server = await ScriptedServer(script).start()
-        async with running(server, aim=OBJECTIVE_MS) as stand:
+        async with running(server, aim=objective_ms) as stand:
             client = await stand.client()
             client.writer.write(request("pay", timeout=TIMEOUT))
             head = await read_head(client.reader)
@@ -291,3 +302,22 @@
             assert await read_body(client.reader, head) == LONG_BODY
 
     run(test())
+
+
+@pytest.mark.parametrize("form", HEADS)
+def test_a_server_that_stops_close_to_the_deadline_costs_a_whole_answer(form: str) -> None:
+    # Guards against a head that is passed on at the deadline, and cut off within the slack.
+    async def script(server: ScriptedServer, _: bytes, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep((DEADLINE_MS - MAX_SILENCE_MS / 2) / 1000)
+        writer.write(HEADS[form])
+        await asyncio.wait_for(server.ended.get(), WAIT_S)
+
+    async def test() -> None:
+        server = await ScriptedServer(script).start()
+        async with running(server, aim=DEADLINE_MS) as stand:
+            client = await stand.client()
+            status, _, _ = await client.ask(request(timeout=TIMEOUT))
+            assert status == 503
+            server.ended.put_nowait(1)
+
+    run(test())
