Count the time in which a streamed or partly read body waited unread as its client's

Cause: the time of a request whose body is streamed started as its last byte was read, whatever the system knew of when that came. A buffered body that is read in parts lost its age with the second part.

Change: the time starts when the system received the last bytes (TCP_INFO); the age is looked up at each read of a connection's first request.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -32,6 +32,7 @@
 )
 from badgercart.frontends.http.socket_input import (
     DISCONNECT_EVENTS,
+    MS_PER_S,
     poll_socket,
     set_reset_on_close,
     undelivered_bytes,
@@ -42,6 +43,9 @@
 if TYPE_CHECKING:
     from badgercart.frontends.http.clients import Listener
 
+# The states in which the first request of a connection may be read long after it arrived, in parts.
+UNREAD_STATES = (ConnectionState.NEW, ConnectionState.RECEIVING)
+
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection.
@@ -118,7 +122,7 @@
         """Handle bytes from the client."""
         now_s = self.listener.loop.time()
         received_s = now_s
-        if self.machine.state is ConnectionState.NEW:
+        if self.machine.state in UNREAD_STATES:
             # It may have waited in the backlog, or while the node was starting.
             received_s -= unread_age_s(self.descriptor)
         self.machine.received(reading.read_bytes(nbytes), now_s, received_s)
@@ -343,7 +347,13 @@
 
     def request_completed(self, request: ClientRequest) -> None:
         """Handle that the body of a request has been received completely."""
-        self.start_request_time(request, now_ms())
+        self.start_request_time(request, self.last_arrival_ms())
+
+    def last_arrival_ms(self) -> float:
+        """Return the clock time at which bytes last arrived on this machine, read or not."""
+        if self.transport.is_closing():
+            return now_ms()
+        return now_ms() - unread_age_s(self.descriptor) * MS_PER_S
 
     def note_body_arrival(self) -> None:
         """Start the time of a request whose body waits for its server, once all of it is here."""
@@ -352,7 +362,7 @@
         if request is None or arrival is None or self.transport.is_closing():
             return
         now, unread = now_ms(), unread_bytes(self.descriptor)
-        arrival.observe(machine.received_bytes + (unread or 0), now)
+        arrival.observe(machine.received_bytes + (unread or 0), self.last_arrival_ms())
         missing = machine.missing_body_bytes(unread)
         arrived_ms = arrival.completed_ms(missing, request.timeout_ms, now)
         if arrived_ms is not None:
--- a/tests/pressure/test_unread_requests.py
+++ b/tests/pressure/test_unread_requests.py
@@ -4,6 +4,15 @@
 
 import asyncio
 
+import pytest
+
+from badgercart.core.clock import now_ms
+from badgercart.core.memory_budget import (
+    MIN_BUFFERED_MESSAGE_BYTES,
+    MIN_READ_BYTES,
+    MemoryBudget,
+)
+from badgercart.policy.events import Request, RequestCompleted
 from tests.net import WAIT_S, ScriptedServer, field, request, run, running
 
 WAITED_S = 0.4
@@ -29,3 +38,32 @@
             assert int(told[:-1]) <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
 
     run(test())
+
+
+BODY = bytes(8000)
+
+
+@pytest.mark.parametrize("streamed", [True, False], ids=["streamed", "buffered"])
+def test_a_body_that_waited_in_the_backlog_is_not_given_its_whole_time(
+    streamed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a time that counts from the last read, where memory is short and bodies are read in parts.
+    monkeypatch.setattr(MemoryBudget, "read_limit_bytes", MIN_READ_BYTES)
+    if streamed:
+        monkeypatch.setattr(MemoryBudget, "message_limit_bytes", MIN_BUFFERED_MESSAGE_BYTES)
+
+    async def test() -> None:
+        server = await ScriptedServer().start()
+        async with running(server) as stand:
+            stand.node.listener.opened = False  # as while a new process waits for its list
+            stand.node.listener.pause_accepting()
+            client = await stand.client()
+            client.writer.write(request("pay", timeout=f"{TIMEOUT_MS}m", body=BODY))
+            await asyncio.sleep(WAITED_S)
+            stand.node.listener.open()
+            assert (await client.answer())[0] == 200
+            completed = await stand.event(RequestCompleted if streamed else Request)
+            left_ms = completed.deadline_at_ms - now_ms()
+            assert left_ms <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
+
+    run(test())
