Accept again at once, or after 10 ms, where accept fails for a moment

Cause: each failure but ECONNABORTED stopped the listener until a connection ended or the next check of the timeouts, 0.2 s. EINTR was taken for an empty backlog, and a drain closes the listener on that.

Change: errors of a single connection, and EINTR, are followed by the next accept; ENFILE, ENOBUFS and the like by one after 10 ms. EMFILE waits as before. A series of failures is logged once.

Why it works: what the system lacked for a moment costs that moment, and no longer a fixed share of a second each.

--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -41,6 +41,23 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.2
 # Connections accepted at a time, before those that are already open are read.
 MAX_ACCEPTS_PER_EVENT = 64
+# Errors of accept(2) that concern one connection, or none: the next may be accepted at once.
+SINGLE_ACCEPT_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
+ACCEPT_RETRY_S = 0.01  # after the system has lacked what a connection takes
 DRAIN_ACCEPT_S = 0.6  # how long new connections are accepted after SIGTERM
 # A process that is being replaced closes connections that have been idle for this time.
 HANDOVER_IDLE_S = 0.6
@@ -112,6 +129,7 @@
         self.socket: socket.socket | None = None
         self.opened = True  # whether connections may be accepted
         self.accepting = False  # whether the event loop watches the socket
+        self.accept_failing = False  # whether the last attempt to accept failed
         # The connection evicted last, until it is closed.
         self.evicted: ClientConnection | None = None
         self.timeout_timer: asyncio.TimerHandle | None = None
@@ -239,15 +257,14 @@
         for _ in range(min(MAX_ACCEPTS_PER_EVENT, self.max_connections - len(self.connections))):
             try:
                 sock, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 return True
             except OSError as error:
-                if error.errno == errno.ECONNABORTED:  # the client has left already
+                if error.errno in SINGLE_ACCEPT_ERRORS:
                     continue
-                ACCEPT_FAILED(error=error)
-                # There is no file descriptor or memory now; the next timeout check tries again.
-                self.pause_accepting()
+                self.accept_failed(error)
                 return False
+            self.accept_failing = False
             sock.setblocking(False)
             with suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -257,6 +274,16 @@
             self.loop.create_task(self.connect_client(sock, client))
         return False
 
+    def accept_failed(self, error: OSError) -> None:
+        """Try again later: there is no file descriptor or memory now."""
+        if not self.accept_failing:
+            ACCEPT_FAILED(error=error)
+        self.accept_failing = True
+        self.pause_accepting()
+        # The process's own descriptors are short until a connection ends, or the next timeout check.
+        if error.errno != errno.EMFILE:
+            self.loop.call_later(ACCEPT_RETRY_S, self.resume_accepting)
+
     async def connect_client(self, sock: socket.socket, client: ClientConnection) -> None:
         """Attach an accepted socket to its connection."""
         try:
--- a/tests/frontends/test_http.py
+++ b/tests/frontends/test_http.py
@@ -18,6 +18,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from badgercart.core.clock import now_ms
 from badgercart.core.identifiers import stable_id
 from badgercart.core.piece_buffer import PIECE_BYTES
 from badgercart.frontends.http import clients, connection, connection_eviction
@@ -365,6 +366,67 @@
     run(test())
 
 
+class FailingSocket:
+    """A listening socket whose next calls of accept fail, so many of them."""
+
+    def __init__(self, real: Any, error: int, failures: int) -> None:
+        self.real, self.error, self.failures = real, error, failures
+
+    def accept(self) -> Any:
+        """Fail, or accept a connection."""
+        self.failures -= 1
+        if self.failures >= 0:
+            raise OSError(self.error, "for a moment")
+        return self.real.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.real, name)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [errno.ENFILE, errno.ENOBUFS, errno.EINTR, errno.ECONNABORTED, errno.ENETUNREACH],
+    ids=errno.errorcode.get,
+)
+def test_an_accept_that_fails_for_a_moment_is_tried_again_soon(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a backlog that waits for the next timeout check after each failure.
+    monkeypatch.setattr(clients, "TIMEOUT_CHECK_INTERVAL_S", 3600.0)
+
+    async def test() -> None:
+        async with running(await ScriptedServer().start()) as stand:
+            listener = stand.node.listener
+            real = listener.socket
+            monkeypatch.setattr(listener, "socket", FailingSocket(real, error, 20))
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+            monkeypatch.setattr(listener, "socket", real)
+
+    run(test())
+
+
+@pytest.mark.parametrize("error", [errno.EINTR, errno.ECONNABORTED], ids=errno.errorcode.get)
+def test_a_drain_accepts_what_waits_behind_an_accept_that_fails_for_a_moment(
+    error: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a listener that is closed with a connection in its backlog, which resets it.
+    monkeypatch.setattr(clients, "DRAIN_ACCEPT_S", 0.0)
+
+    async def test() -> None:
+        async with running(await ScriptedServer().start()) as stand:
+            listener = stand.node.listener
+            listener.pause_accepting()
+            client = await stand.client()
+            monkeypatch.setattr(listener, "socket", FailingSocket(listener.socket, error, 1))
+            client.writer.write(request())
+            drain = asyncio.ensure_future(listener.drain(now_ms() + 1000 * WAIT_S))
+            assert (await client.answer())[0] == 200
+            await drain
+
+    run(test())
+
+
 def test_silent_and_slow_clients_time_out(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with running(await ScriptedServer().start()) as stand:
