Start the time of a request whose last bytes wait at its client, as the buffers here are full

Cause: a body with a length counted as arrived only once all of it was on this machine. It can't come here while the receive buffer is full, so that its time never started and the scan for stalled streams ended it.

Change: where the receive buffer is half full or more, from where on the system closes its window, the rule for bodies of unknown length holds: a client that has sent nothing for its whole time is taken to have sent all.

Why it works: what the client could not send does not count as its silence any more.

The new test of tests/upstream/test_upload_timeouts.py failed before.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -33,6 +33,7 @@
 from badgercart.frontends.http.socket_input import (
     DISCONNECT_EVENTS,
     MS_PER_S,
+    may_refuse_input,
     poll_socket,
     set_reset_on_close,
     undelivered_bytes,
@@ -364,6 +365,8 @@
         now, unread = now_ms(), unread_bytes(self.descriptor)
         arrival.observe(machine.received_bytes + (unread or 0), self.last_arrival_ms())
         missing = machine.missing_body_bytes(unread)
+        if missing and may_refuse_input(self.descriptor):
+            missing = None  # the rest may wait in the client's own buffer
         arrived_ms = arrival.completed_ms(missing, request.timeout_ms, now)
         if arrived_ms is not None:
             self.start_request_time(request, arrived_ms)
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -32,6 +32,28 @@
     return count[0]
 
 
+# Of asm-generic/socket.h: how much memory a socket uses, of which the first two are the receive
+# buffer's allocated bytes and its limit.
+_SO_MEMINFO = 55
+_RECEIVE_BUFFER = struct.Struct("=II")
+
+
+def may_refuse_input(descriptor: int) -> bool:
+    """Return whether a socket may take no more input until some is read; False if not known.
+
+    The system closes the window before the buffer is full, from half of it on (tcp(7), `tcp_rmem`).
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
+        info = sock.getsockopt(socket.SOL_SOCKET, _SO_MEMINFO, _RECEIVE_BUFFER.size)
+        allocated_bytes, limit_bytes = _RECEIVE_BUFFER.unpack(info)
+    except (OSError, struct.error):
+        return False
+    finally:
+        sock.detach()  # its owner closes it
+    return bool(allocated_bytes >= limit_bytes / 2)
+
+
 def undelivered_bytes(descriptor: int) -> int:
     """Return how many bytes the peer of a socket has not acknowledged; 0 if that is not known.
 
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import math
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -212,6 +213,31 @@
     run(test())
 
 
+def test_the_time_of_a_request_whose_end_waits_at_its_client_passes_while_its_server_reads_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a request that is answered seconds late: its last byte was written, but could
+    # not arrive, as the node's own receive buffer was full.
+    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, _):
+            listening = stand.node.listener.socket
+            assert listening is not None
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_STREAM_WINDOW_BYTES)
+            client = await stand.client()
+            body = bytes(8 * MAX_STREAM_WINDOW_BYTES + BLOCKING_BYTES)
+            client.writer.write(
+                await send_until_blocked(stand, client, long_request("length", "300m", body))
+            )
+            assert (await client.answer())[0] == 503
+            outcome = await body_consuming_attempt(stand)
+            assert outcome.result is AttemptResult.UNREACHABLE
+            assert not server.received.done()
+
+    run(test())
+
+
 def test_a_request_that_has_not_arrived_keeps_its_time_while_its_server_reads_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
