Reuse a server's connection only once the clock says that its pause is over

Cause: a connection rests for 10 ms behind an answer. The attempt that waited for it slept for what was left and did not look at the clock again; the loop's timers may fire a ms early.

Evidence: a test with timers that fire a tenth early: the connection was reused after 180 of 200 ms.

Change: the attempt waits until the clock says that the pause is over.

The new test failed before.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -44,6 +44,7 @@
 # the first by some ms, and would be taken for the next request's: responses do not say which
 # request they belong to.
 REUSE_DELAY_MS = 10.0
+MIN_SLEEP_MS = 1.0  # the resolution of timers
 # How often streams are looked at while attempts wait for a descriptor.
 STALL_CHECK_INTERVAL_S = 0.05
 # A streamed attempt is aborted when the server sends or reads nothing for this time.
@@ -236,7 +237,9 @@
     async def send_after_reuse_delay(self, attempt: Attempt, connection: ServerConnection) -> None:
         """Send on a connection that has just had a response, once its pause is over."""
         try:
-            await asyncio.sleep((REUSE_DELAY_MS + connection.idle_since_ms - now_ms()) / 1000)
+            # Timers may fire up to a ms early.
+            while (remaining_ms := REUSE_DELAY_MS - (now_ms() - connection.idle_since_ms)) > 0:
+                await asyncio.sleep(max(remaining_ms, MIN_SLEEP_MS) / MS_PER_S)
         except asyncio.CancelledError:
             self.keep_idle(connection)
             raise
--- a/tests/upstream/test_pool.py
+++ b/tests/upstream/test_pool.py
@@ -11,11 +11,13 @@
 
 import pytest
 
+from badgercart.core.clock import now_ms
 from badgercart.core.identifiers import stable_id
 from badgercart.policy.actions import Send
 from badgercart.policy.events import AttemptResult, EndpointUpdate, Request
 from badgercart.upstream import connection_pool
-from badgercart.upstream.server_connection import ServerConnection
+from badgercart.upstream.connection_pool import ServerPool
+from badgercart.upstream.server_connection import Attempt, ServerConnection
 from tests.net import (
     OK,
     WAIT_S,
@@ -348,6 +350,37 @@
     run(test())
 
 
+def test_a_connection_is_not_reused_before_its_pause_is_over_where_timers_fire_early(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a second response within the pause that another request's client gets.
+    monkeypatch.setattr(connection_pool, "REUSE_DELAY_MS", 200.0)
+    sleep, begin_attempt = asyncio.sleep, ServerPool.begin_attempt
+    pauses_ms: list[float] = []
+
+    async def sleep_early(delay_s: float) -> None:
+        await sleep(delay_s * 0.9 if delay_s > 0.01 else delay_s)
+
+    def begin(pool: ServerPool, attempt: Attempt, connection: ServerConnection) -> None:
+        if connection.idle_since_ms:
+            pauses_ms.append(now_ms() - connection.idle_since_ms)
+        begin_attempt(pool, attempt, connection)
+
+    monkeypatch.setattr(asyncio, "sleep", sleep_early)
+    monkeypatch.setattr(ServerPool, "begin_attempt", begin)
+
+    async def test() -> None:
+        peer = await ScriptedServer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            for _ in range(2):
+                assert (await client.ask(request()))[0] == 200
+            assert peer.connections == len(pauses_ms) == 1
+            assert pauses_ms[0] >= connection_pool.REUSE_DELAY_MS
+
+    run(test())
+
+
 def test_a_connection_is_kept_where_its_attempt_ends_during_the_reuse_delay(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
