Part the deadlines of responses from the connection pool

Need: the pool had grown by what ends responses that stop within them, which is a job of its own.

Change: ResponseDeadlines (upstream/response_deadline.py) has the decision whether a response goes on, and the watch of streams that may be short. The pool keeps connections, attempts and their ends. No behaviour changes.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -29,15 +29,18 @@
     CONNECT_FAILED,
     NO_DESCRIPTORS,
     REPEAT_TOO_LATE,
-    RESPONSE_STOPPED,
     UPLOAD_TIMED_OUT,
 )
-from badgercart.upstream.response_progress import MAX_SILENCE_MS, MS_PER_S
+from badgercart.upstream.response_deadline import (
+    FINAL_READ_DELAY_S,
+    ResponseDeadlines,
+    log_stopped,
+    no_deadline,
+)
+from badgercart.upstream.response_progress import MS_PER_S
 from badgercart.upstream.server_connection import Attempt, Server, ServerConnection
 from badgercart.upstream.stalled_streams import StalledStream, longest_stalled
 
-# An iteration of the event loop, between an attempt's deadline and its end.
-FINAL_READ_DELAY_S = 0.001
 # The interval of the scan for stalled and idle connections.
 SCAN_INTERVAL_S = 1.0
 # The pause of a connection between a response and the next request. A second response may follow
@@ -107,11 +110,6 @@
     return math.inf
 
 
-def no_deadline(request_id: int) -> float:
-    """Return infinity, where nothing limits when a response has to be complete."""
-    return math.inf
-
-
 def reject_streaming(
     request_id: int,
     attempt_number: int,
@@ -141,7 +139,9 @@
         response_deadline_ms: Callable[[int], float] = no_deadline,
     ) -> None:
         self.loop = loop
-        self.response_deadline_ms = response_deadline_ms
+        self.response_deadlines = ResponseDeadlines(
+            loop, response_deadline_ms, self.on_timeout, self.end_timed_out
+        )
         self.is_awaited = is_awaited
         self.latest_write_ms = latest_write_ms
         self.local_address = (source_address, 0) if source_address else None
@@ -500,8 +500,8 @@
             else:
                 is_over = is_stalled and now - connection.last_progress_ms > SERVER_STALL_TIMEOUT_MS
             if is_over:
-                self.log_stopped(connection, attempt)
-                self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
+                log_stopped(connection, attempt)
+                self.end_timed_out(attempt)
         before = now - self.idle_timeout.limit_ms
         for server in self.servers.values():
             while server.idle_connections and server.idle_connections[0].idle_since_ms < before:
@@ -520,72 +520,15 @@
         if attempt.phase is AttemptPhase.STREAMING_REQUEST:
             UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
         elif connection is not None and connection.exchange.awaits_long_body:
-            if self.go_on(attempt, connection):
+            if self.response_deadlines.go_on(attempt, connection):
                 return
-            self.log_stopped(connection, attempt)
+            log_stopped(connection, attempt)
         # Where no connection was established in the whole time, nothing was sent.
-        self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
+        self.end_timed_out(attempt)
 
-    def go_on(self, attempt: Attempt, connection: ServerConnection) -> bool:
-        """Go on with a response that has begun and may be long; return whether that makes sense.
-
-        One of unknown length is held back while it may be short and its server may have stopped.
-        """
-        exchange, now = connection.exchange, now_ms()
-        deadline_ms = self.response_deadline_ms(attempt.request_id)
-        ends_ms = max(deadline_ms, connection.progress.stops_at_ms)
-        if exchange.may_be_short and now >= ends_ms:
-            return False
-        if exchange.has_unknown_length and deadline_ms < math.inf:
-            next_ms = ends_ms if now >= deadline_ms else deadline_ms
-            attempt.past_deadline = False
-            attempt.timer = self.loop.call_later(
-                (next_ms - now) / MS_PER_S, self.on_timeout, attempt
-            )
-        else:
-            connection.start_streaming()
-        return True
-
-    def watch_short_stream(self, attempt: Attempt, deadline_ms: float) -> None:
-        """Have a streamed response end soon after its client's deadline, if it may be short and stops."""
-        attempt.deadline_ms, attempt.past_deadline = deadline_ms, False
-        if deadline_ms < math.inf:
-            self.check_short_stream_after(attempt, deadline_ms + MAX_SILENCE_MS - now_ms())
-
-    def check_short_stream_after(self, attempt: Attempt, delay_ms: float) -> None:
-        """Set when to look next whether a streamed response has stopped."""
-        attempt.timer = self.loop.call_later(
-            max(0.0, delay_ms) / MS_PER_S, self.check_short_stream, attempt
-        )
-
-    def check_short_stream(self, attempt: Attempt) -> None:
-        """End a streamed response past its deadline that has stopped and may be short."""
-        connection = attempt.connection
-        if connection is None or not connection.exchange.may_be_short:
-            return
-        waits_ms = 0.0
-        if connection.read_paused:  # its client is the slow side
-            waits_ms = MAX_SILENCE_MS
-        elif connection.exchange.body_length is None:
-            waits_ms = connection.progress.stops_at_ms - now_ms()
-        if waits_ms > 0:
-            attempt.past_deadline = False
-            self.check_short_stream_after(attempt, waits_ms)
-        elif not attempt.past_deadline:
-            attempt.past_deadline = True
-            self.check_short_stream_after(attempt, FINAL_READ_DELAY_S * MS_PER_S)
-        else:
-            self.log_stopped(connection, attempt)
-            self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
-
-    def log_stopped(self, connection: ServerConnection, attempt: Attempt) -> None:
-        """Log that a response is given up, as its server has stopped within it."""
-        RESPONSE_STOPPED(
-            server=attempt.server.endpoint,
-            request=attempt.request_id,
-            body=connection.progress.body_bytes,
-            silent=int(now_ms() - connection.progress.last_growth_ms),
-        )
+    def end_timed_out(self, attempt: Attempt) -> None:
+        """End an attempt whose time is over."""
+        self.abort_attempt(attempt, TIMEOUT_RESULTS[attempt.phase])
 
     def cancel(self, request_id: int, attempt_number: int) -> None:
         """Cancel an attempt, if it is still open."""
--- /dev/null
+++ b/badgercart/upstream/response_deadline.py
@@ -0,0 +1,107 @@
+"""Ends responses whose server has stopped within them, by their clients' deadlines."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from badgercart.core.clock import now_ms
+from badgercart.upstream.log_events import RESPONSE_STOPPED
+from badgercart.upstream.response_progress import MAX_SILENCE_MS, MS_PER_S
+
+if TYPE_CHECKING:
+    from badgercart.upstream.server_connection import Attempt, ServerConnection
+
+# An iteration of the event loop, between a deadline and its consequence. The loop runs timers before
+# it reads: after a stall a response may be in the socket unread.
+FINAL_READ_DELAY_S = 0.001
+
+
+def no_deadline(request_id: int) -> float:
+    """Return infinity, where nothing limits when a response has to be complete."""
+    return math.inf
+
+
+def log_stopped(connection: ServerConnection, attempt: Attempt) -> None:
+    """Log that a response is given up, as its server has stopped within it."""
+    RESPONSE_STOPPED(
+        server=attempt.server.endpoint,
+        request=attempt.request_id,
+        body=connection.progress.body_bytes,
+        silent=int(now_ms() - connection.progress.last_growth_ms),
+    )
+
+
+class ResponseDeadlines:
+    """The deadlines of responses that have begun.
+
+    Args:
+        loop: the event loop.
+        deadline_ms: returns the clock time at which a short response to a request has to be
+            complete; infinite: it has no deadline.
+        on_timeout: called when the time of an attempt is over whose response is held back.
+        end_stream: ends an attempt whose streamed response has stopped.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        deadline_ms: Callable[[int], float],
+        on_timeout: Callable[[Attempt], None],
+        end_stream: Callable[[Attempt], None],
+    ) -> None:
+        self.deadline_ms = deadline_ms
+        self._loop = loop
+        self._on_timeout = on_timeout
+        self._end_stream = end_stream
+
+    def go_on(self, attempt: Attempt, connection: ServerConnection) -> bool:
+        """Go on with a response that has begun and may be long; return whether that makes sense.
+
+        One of unknown length is held back while it may be short and its server may have stopped.
+        """
+        exchange, now = connection.exchange, now_ms()
+        deadline_ms = self.deadline_ms(attempt.request_id)
+        ends_ms = max(deadline_ms, connection.progress.stops_at_ms)
+        if exchange.may_be_short and now >= ends_ms:
+            return False
+        if exchange.has_unknown_length and deadline_ms < math.inf:
+            next_ms = ends_ms if now >= deadline_ms else deadline_ms
+            attempt.past_deadline = False
+            self._set_timer(attempt, next_ms - now, self._on_timeout)
+        else:
+            connection.start_streaming()
+        return True
+
+    def watch_stream(self, attempt: Attempt, deadline_ms: float) -> None:
+        """Have a streamed response end soon after its deadline, if it may be short and stops."""
+        attempt.deadline_ms, attempt.past_deadline = deadline_ms, False
+        if deadline_ms < math.inf:
+            self._set_timer(attempt, deadline_ms + MAX_SILENCE_MS - now_ms(), self._check_stream)
+
+    def _set_timer(
+        self, attempt: Attempt, delay_ms: float, callback: Callable[[Attempt], None]
+    ) -> None:
+        attempt.timer = self._loop.call_later(max(0.0, delay_ms) / MS_PER_S, callback, attempt)
+
+    def _check_stream(self, attempt: Attempt) -> None:
+        """End a streamed response past its deadline that has stopped and may be short."""
+        connection = attempt.connection
+        if connection is None or not connection.exchange.may_be_short:
+            return
+        waits_ms = 0.0
+        if connection.read_paused:  # its client is the slow side
+            waits_ms = MAX_SILENCE_MS
+        elif connection.exchange.body_length is None:
+            waits_ms = connection.progress.stops_at_ms - now_ms()
+        if waits_ms > 0:
+            attempt.past_deadline = False
+            self._set_timer(attempt, waits_ms, self._check_stream)
+        elif not attempt.past_deadline:
+            attempt.past_deadline = True
+            self._set_timer(attempt, FINAL_READ_DELAY_S * MS_PER_S, self._check_stream)
+        else:
+            log_stopped(connection, attempt)
+            self._end_stream(attempt)
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -223,7 +223,7 @@
         attempt.phase = AttemptPhase.STREAMING_RESPONSE
         self.last_progress_ms = now_ms()
         pool.cancel_timers(attempt)
-        deadline_ms = pool.response_deadline_ms(attempt.request_id)
+        deadline_ms = pool.response_deadlines.deadline_ms(attempt.request_id)
         header_section, elapsed_ms = self.exchange.start_streaming(), now_ms() - attempt.started_ms
         self.sink = pool.on_response_started(
             attempt.request_id, attempt.number, self.server.id, elapsed_ms, header_section
@@ -233,7 +233,7 @@
             return
         pool.memory_budget.stream_count += 1
         self.sink.set_callbacks(self.on_space, self.on_abandoned)
-        pool.watch_short_stream(attempt, deadline_ms)
+        pool.response_deadlines.watch_stream(attempt, deadline_ms)
         self.forward_response()
 
     def forward_response(self) -> None:
@@ -321,7 +321,7 @@
     def hold_back(self, attempt: Attempt) -> None:
         """Hold back a response of unknown length until it goes on: its server may have stopped."""
         progress, pool = self.progress, self.pool
-        deadline_ms = pool.response_deadline_ms(attempt.request_id)
+        deadline_ms = pool.response_deadlines.deadline_ms(attempt.request_id)
         went_on_ms = progress.last_growth_ms - progress.body_started_ms
         is_late = bool(self.exchange.body) and now_ms() >= deadline_ms
         if is_late or went_on_ms >= MIN_STREAMED_DURATION_MS:
