End a body that its server does not read, where the log line of the scan failed

Cause: the scan for stalled streams logged each as a response that has stopped. A body that is still being sent has no response yet, its silence is infinite, and the conversion to whole ms raised OverflowError before the attempt was ended.

Change: the scan logs pool.upload_timed_out for such a body, and nothing of the server where the client is the slow side.

Measured: test_a_server_that_reads_nothing_is_given_up_while_its_client_still_sends failed before in both framings; tests/upstream and tests/bulk hold.

--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -500,7 +500,10 @@
             else:
                 is_over = is_stalled and now - connection.last_progress_ms > SERVER_STALL_TIMEOUT_MS
             if is_over:
-                log_stopped(connection, attempt)
+                if attempt.phase is AttemptPhase.STREAMING_REQUEST:
+                    UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
+                elif not connection.read_paused:
+                    log_stopped(connection, attempt)
                 self.end_timed_out(attempt)
         before = now - self.idle_timeout.limit_ms
         for server in self.servers.values():
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -132,6 +132,24 @@
     assert "did not read a request's body in its time" in caplog.text
 
 
+@pytest.mark.parametrize("form", ["length", "chunks"])
+def test_a_server_that_reads_nothing_is_given_up_while_its_client_still_sends(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, form: str
+) -> None:
+    # Guards against a look for stalled streams that fails, and ends none of them.
+    monkeypatch.setattr(connection_pool, "SCAN_INTERVAL_S", 0.01)
+
+    async def test() -> None:
+        async with hanging(monkeypatch) as (stand, server, client):
+            await send_until_blocked(stand, client, long_request(form, "5000m"))
+            monkeypatch.setattr(connection_pool, "SERVER_STALL_TIMEOUT_MS", 50.0)
+            assert (await client.answer())[0] == 503
+            assert not server.received.done()
+
+    run(test())
+    assert "did not read a request's body in its time" in caplog.text
+
+
 @pytest.mark.parametrize("form", ["length", "chunks"])
 def test_a_client_whose_body_waits_for_its_server_does_not_time_out(
     monkeypatch: pytest.MonkeyPatch, form: str
