Hold an answer back for up to 1.85 s, so that a deadline of 1.9 s comes first

What callers would see: with a time of 1.9 s, as some classes have it, a server that hangs after the first bytes of a short answer still cost a part of it and a cut after 1.5 s, and no whole 503.

Cause: the limit on holding back was 1.5 s, further under the 2 s that count as lost than hold-ups of the process (0.15 s) ask for.

Change: the limit is 2 s less 0.15 s.

--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -10,7 +10,7 @@
 
 from badgercart.config import Address
 from badgercart.core import read_buffer
-from badgercart.core.clock import now_ms
+from badgercart.core.clock import MAX_HOLD_UP_MS, now_ms
 from badgercart.core.memory_budget import MIN_READ_BYTES, MemoryCharge
 from badgercart.core.output_buffer import BATCH_BYTES, OutputBuffer
 from badgercart.core.results import attempt_result
@@ -33,8 +33,10 @@
 
 # A response of unknown length that goes on for longer than this after its first byte is streamed.
 MIN_STREAMED_DURATION_MS = 100.0
-# How long a part of it is held back while nothing follows. From 2 s on it would count as lost.
-MAX_HOLD_BACK_MS = 1500.0
+# How long a part of it is held back while nothing follows. From this and a hold-up of the process
+# on it would count as lost.
+LOST_HOLD_BACK_MS = 2000.0
+MAX_HOLD_BACK_MS = LOST_HOLD_BACK_MS - MAX_HOLD_UP_MS
 # After a read of this size, more may follow at once.
 MIN_FULL_READ_BYTES = MIN_READ_BYTES
 
