Log the end of each attempt, request and closed client with its id, at level debug

Change: ROUTER_LOG=debug has the platform's node log the end of each attempt (result, time), of each request (Request-Id, outcome, attempts) and of each client's connection that the node ends (reason, state). Off by default.

Measured: tests/test_process.py follows a request by its Request-Id to its attempt; at info no line is added.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -12,9 +12,19 @@
 import uvloop
 
 from badgercart.config import Config, ConfigError, read_config
-from badgercart.core.log_events import RepeatedWarningFilter
+from badgercart.core.log_events import REQUEST_ENDED, RepeatedWarningFilter
+from badgercart.core.request_log import RequestEndLog
 from badgercart.node import Node
 
+# With `debug`, the ends of attempts, requests and clients' connections are logged too.
+LOG_LEVEL_VARIABLE = "ROUTER_LOG"
+
+
+def set_log_level(level: str) -> None:
+    """Log the program's own events from this level on; any word but `debug` is info."""
+    if level == "debug":
+        logging.getLogger("badgercart").setLevel(logging.DEBUG)
+
 
 async def serve(config: Config) -> None:
     """Run a node until SIGTERM or SIGINT, then drain it."""
@@ -22,6 +32,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, loop)
+    if REQUEST_ENDED.is_enabled:
+        node.pipeline.observers += (RequestEndLog(),)
     loop.add_signal_handler(signal.SIGHUP, node.reload, os.environ)
     gc.collect()
     gc.freeze()  # excludes from collection what exists by now, since it stays until the end
@@ -48,6 +60,7 @@
             return 2
         return command_line(sys.argv[1:])
     try:
+        set_log_level(os.environ.get(LOG_LEVEL_VARIABLE, ""))
         config = read_config(os.environ)
     except ConfigError as error:
         print(f"badgercart: {error}", file=sys.stderr)
--- a/badgercart/core/log_events.py
+++ b/badgercart/core/log_events.py
@@ -28,9 +28,14 @@
     words: str  # the message for people, with fields in the form `%(field)s`
     meaning: str  # and what to do about it; Markdown, for the operators' page
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether the event is logged at the present level."""
+        return log.isEnabledFor(self.level)
+
     def __call__(self, exc_info: BaseException | bool | None = None, /, **fields: Any) -> None:
         """Log the event, with a traceback where `exc_info` is given."""
-        if log.isEnabledFor(self.level):
+        if self.is_enabled:
             arguments = (fields,) if fields else ()
             log.log(
                 self.level, self.words, *arguments, exc_info=exc_info, extra={"event": self.name}
@@ -122,6 +127,18 @@
     "%(text)s",
     "The deciding module says what it does: shedding begins or ends, and why.",
 )
+ATTEMPT_ENDED = define_event(
+    "request.attempt_ended",
+    logging.DEBUG,
+    "attempt %(attempt)d of request %(request)s (%(number)d) ended: %(result)s after %(elapsed)d ms",
+    "At level `debug`, one for each attempt; the number is the one in other lines of the process.",
+)
+REQUEST_ENDED = define_event(
+    "request.ended",
+    logging.DEBUG,
+    "request %(request)s (%(number)d) ended: %(outcome)s after %(elapsed)d ms and %(attempts)d attempts, by endpoint %(endpoint)d",
+    "At level `debug` of the platform's node, one for each request; endpoint 0 is none.",
+)
 CONFIG_KEPT = define_event(
     "config.kept",
     logging.ERROR,
--- a/badgercart/core/request_pipeline.py
+++ b/badgercart/core/request_pipeline.py
@@ -13,7 +13,7 @@
 from typing import Any, cast
 
 from badgercart.core.clock import MAX_HOLD_UP_MS, RESPONSE_MARGIN_MS, now_ms
-from badgercart.core.log_events import POLICY_FAILED, POLICY_SAID
+from badgercart.core.log_events import ATTEMPT_ENDED, POLICY_FAILED, POLICY_SAID
 from badgercart.core.ports import (
     AttemptObserver,
     AttemptRequest,
@@ -384,6 +384,7 @@
             return
         for observer in self.attempt_observers:
             observer.attempt_ended(endpoint_id, result, elapsed_ms)
+        self.log_attempt_end(request_id, attempt_number, result, elapsed_ms)
         is_final = result is AttemptResult.OK
         if response is not None and 400 <= response.status < 500 and response.status != 429:
             # The request itself is at fault, at whichever endpoint: it must neither be retried nor
@@ -422,6 +423,21 @@
             in_flight.frontend.on_response(response)
         self.process_events()
 
+    def log_attempt_end(
+        self, request_id: int, attempt_number: int, result: AttemptResult, elapsed_ms: float
+    ) -> None:
+        """Log the end of an attempt at level debug; that of an ended request has no name."""
+        if not ATTEMPT_ENDED.is_enabled:
+            return
+        in_flight = self.in_flight.get(request_id)
+        ATTEMPT_ENDED(
+            attempt=attempt_number,
+            request="" if in_flight is None else in_flight.request.request_name.decode("latin-1"),
+            number=request_id,
+            result=result.name,
+            elapsed=int(elapsed_ms),
+        )
+
     def response_started(
         self,
         request_id: int,
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -22,7 +22,7 @@
     FIRST_BYTE_GRACE_S,
     choose_connection_to_evict,
 )
-from badgercart.frontends.http.log_events import ACCEPT_FAILED
+from badgercart.frontends.http.log_events import ACCEPT_FAILED, CLIENT_CLOSED
 from badgercart.frontends.http.memory_relief import largest_holders
 from badgercart.frontends.http.request_handler import RequestHandler
 from badgercart.frontends.http.requests import (
@@ -318,8 +318,10 @@
     def note_end(self, client: ClientConnection, reason: CloseReason) -> None:
         """Count and log the end of a connection."""
         self.closed_connections[reason] += 1
+        state = client.machine.state.name.lower()
+        CLIENT_CLOSED(reason=reason.value, state=state, number=client.request_id)
         if (event := LOGGED_REASONS.get(reason)) is not None:
-            event(state=client.machine.state.name.lower(), held=client.held_bytes())
+            event(state=state, held=client.held_bytes())
 
     def silent_since_s(self, client: ClientConnection) -> float:
         """Return when a client last sent something or, if later, was last answered (s)."""
--- a/badgercart/frontends/http/log_events.py
+++ b/badgercart/frontends/http/log_events.py
@@ -43,6 +43,12 @@
     "a client was closed: it did not read its answer, %(held)d bytes held",
     "It took nothing for the time of an idle connection.",
 )
+CLIENT_CLOSED = define_event(
+    "http.client_closed",
+    logging.DEBUG,
+    "a client's connection was closed: %(reason)s, it was %(state)s, request %(number)d",
+    "At level `debug`, each connection that the node ends and its client would have kept; 0 is no request.",
+)
 REQUEST_REPEATED = define_event(
     "http.request_repeated",
     logging.WARNING,
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -220,3 +220,25 @@
             assert await asyncio.wait_for(node.process.wait(), WAIT_S) == 0
 
     uvloop.run(test())
+
+
+@pytest.mark.parametrize(("level", "logged"), [("debug", True), ("info", False)])
+def test_a_client_s_request_can_be_followed_in_the_log_to_its_attempts(
+    level: str, logged: bool, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        server = await ScriptedServer().start()
+        agent = await DiscoveryAgent([server.entry()]).start()
+        async with running_process(tmp_path / "c.json", agent.port, ROUTER_LOG=level) as node:
+            client = await node.client()
+            sent = request()
+            assert (await client.ask(sent))[0] == 200
+            name = (field(sent, b"Request-Id") or b"").decode()
+            node.process.terminate()
+            assert node.process.stderr is not None
+            lines = (await node.process.stderr.read()).decode()
+            attempt = re.search(rf"attempt 0 of request {name} .*ended: OK", lines)
+            ended = re.search(rf"request {name} .*ended: served after \d+ ms and 1 attempts", lines)
+            assert bool(attempt) is bool(ended) is logged
+
+    uvloop.run(test())
