End a short answer past its client's time only if nothing has arrived since then

What callers saw: long answers of no stated length were begun and cut off: lumps of 15 kB each 0.5 s 350 ms after a lump, a trickle of 20 kB/s with some ms of silence, at 350 ms past the client's time.

Cause: 350 ms of silence and 32 kB/s were guesses of what a sound server does. Both are shown by sound ones.

A body that has grown since the client's time shows that its server lives: then nothing but 10 s of silence ends it. A response whose reading was paused for its client has the same 400 ms from when it is read on.

Why it works: a server that has stopped before the client's time can't show growth past it, and one that writes does.

--- a/badgercart/upstream/response_deadline.py
+++ b/badgercart/upstream/response_deadline.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from badgercart.core.clock import MS_PER_S, now_ms
+from badgercart.core.clock import MS_PER_S, RESPONSE_MARGIN_MS, now_ms
 from badgercart.upstream.log_events import RESPONSE_STOPPED
-from badgercart.upstream.response_progress import MAX_SILENCE_MS
+from badgercart.upstream.response_progress import STOP_DECISION_DELAY_MS
 
 if TYPE_CHECKING:
     from badgercart.upstream.server_connection import Attempt, ServerConnection
@@ -34,6 +34,11 @@
     )
 
 
+def client_time_ms(attempt: Attempt) -> float:
+    """Return the clock time at which the time of an attempt's client is over."""
+    return attempt.deadline_ms + RESPONSE_MARGIN_MS
+
+
 class ResponseDeadlines:
     """The deadlines of responses that have begun.
 
@@ -58,29 +63,28 @@
         """Have a streamed response end soon after its deadline, if it may be short and stops."""
         attempt.deadline_ms, attempt.past_deadline = deadline_ms, False
         if deadline_ms < math.inf:
-            self._set_timer(attempt, deadline_ms + MAX_SILENCE_MS - now_ms(), self._check_stream)
+            self._check_at(attempt, client_time_ms(attempt) + STOP_DECISION_DELAY_MS)
 
-    def _set_timer(
-        self, attempt: Attempt, delay_ms: float, callback: Callable[[Attempt], None]
-    ) -> None:
-        attempt.timer = self._loop.call_later(max(0.0, delay_ms) / MS_PER_S, callback, attempt)
+    def _check_at(self, attempt: Attempt, at_ms: float) -> None:
+        delay_s = max(0.0, at_ms - now_ms()) / MS_PER_S
+        attempt.timer = self._loop.call_later(delay_s, self._check_stream, attempt)
 
     def _check_stream(self, attempt: Attempt) -> None:
         """End a streamed response past its deadline that has stopped and may be short."""
-        connection = attempt.connection
+        connection, now = attempt.connection, now_ms()
         if connection is None or not connection.exchange.may_be_short:
             return
-        waits_ms = 0.0
         if connection.read_paused:  # its client is the slow side
-            waits_ms = MAX_SILENCE_MS
-        elif connection.exchange.body_length is None:
-            waits_ms = connection.progress.stops_at_ms - now_ms()
-        if waits_ms > 0:
+            self._check_at(attempt, now + STOP_DECISION_DELAY_MS)
+            return
+        has_length = connection.exchange.body_length is not None
+        stops_at_ms = connection.progress.stops_at_ms(client_time_ms(attempt), has_length)
+        if now < stops_at_ms < math.inf:
             attempt.past_deadline = False
-            self._set_timer(attempt, waits_ms, self._check_stream)
-        elif not attempt.past_deadline:
+            self._check_at(attempt, stops_at_ms)
+        elif stops_at_ms < math.inf and not attempt.past_deadline:
             attempt.past_deadline = True
-            self._set_timer(attempt, FINAL_READ_DELAY_S * MS_PER_S, self._check_stream)
-        else:
+            self._check_at(attempt, now + FINAL_READ_DELAY_S * MS_PER_S)
+        elif stops_at_ms < math.inf:
             log_stopped(connection, attempt)
             self._end_stream(attempt)
--- a/badgercart/upstream/response_progress.py
+++ b/badgercart/upstream/response_progress.py
@@ -2,27 +2,30 @@
 
 A response counts as answered by its last byte; one of over `MAX_BODY_BYTES` by its first. Where its
 length is not stated, which of the two it is shows only when it grows over that, or ends.
+
+A server that pauses and one that hangs look alike until more arrives. So a response that may be
+short counts as stopped at the last moment at which its client can still be told in time, and only
+if nothing has arrived since the client's time was over.
 """
 
 from __future__ import annotations
 
 import math
 
-from badgercart.core.clock import MAX_HOLD_UP_MS, MS_PER_S
+from badgercart.core.clock import MAX_HOLD_UP_MS
 
-# A final response may be written this long after the client's deadline.
+# A final response may be written this long after the client's time, and on sockets each limit is a
+# little longer.
 RESPONSE_SLACK_MS = 500.0
-# A server that adds nothing to its response for this long past the deadline has stopped.
-# The process may be held up for the rest of the slack.
-MAX_SILENCE_MS = RESPONSE_SLACK_MS - MAX_HOLD_UP_MS
-# So has one that sends its body more slowly on average: half of the rate of slow peers.
-MIN_RESPONSE_RATE_BYTES_PER_S = 32_000
+SOCKET_SLACK_MS = 50.0
+# From the client's time to the decision. The process may be held up for the rest of the slack.
+STOP_DECISION_DELAY_MS = RESPONSE_SLACK_MS + SOCKET_SLACK_MS - MAX_HOLD_UP_MS
 
 
 class ResponseProgress:
-    """When the body of one response began, and when it last grew. Times are in ms on one clock."""
+    """When the body of one response last grew. Times are in ms on one clock."""
 
-    __slots__ = ("body_bytes", "body_started_ms", "last_growth_ms")
+    __slots__ = ("body_bytes", "last_growth_ms", "reading_since_ms")
 
     def __init__(self) -> None:
         self.reset()
@@ -30,18 +33,27 @@
     def reset(self) -> None:
         """Start before the first byte of a response."""
         self.body_bytes = 0
-        self.body_started_ms = self.last_growth_ms = math.inf
+        self.last_growth_ms = math.inf
+        self.reading_since_ms = -math.inf  # reading was paused until then
 
     def observe(self, body_bytes: int, now_ms: float) -> None:
         """Note how many bytes of the body have arrived, once the header section is complete."""
-        if body_bytes and not self.body_bytes:
-            self.body_started_ms = now_ms
         if body_bytes > self.body_bytes or self.last_growth_ms == math.inf:
             self.last_growth_ms = now_ms
         self.body_bytes = body_bytes
 
-    @property
-    def stops_at_ms(self) -> float:
-        """When the response counts as stopped, unless more of it arrives."""
-        transfer_ms = self.body_bytes / MIN_RESPONSE_RATE_BYTES_PER_S * MS_PER_S
-        return min(self.last_growth_ms, self.body_started_ms + transfer_ms) + MAX_SILENCE_MS
+    def reading_resumed(self, now_ms: float) -> None:
+        """Note that the response is read on: what its server wrote meanwhile may not show yet."""
+        self.reading_since_ms = now_ms
+
+    def stops_at_ms(self, client_time_ms: float, has_length: bool) -> float:
+        """Return when the response counts as stopped, unless more of it arrives; infinite: never.
+
+        Args:
+            client_time_ms: when the client's time is over.
+            has_length: whether the response states its length, so that it is known to be short and
+                late. Without, one that grows past the client's time is still being written.
+        """
+        if not has_length and self.last_growth_ms >= client_time_ms:
+            return math.inf
+        return max(client_time_ms, self.reading_since_ms) + STOP_DECISION_DELAY_MS
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -248,6 +248,7 @@
         """Go on reading a response, as its client has space again."""
         if self.read_paused and not self.transport.is_closing():
             self.read_paused, self.last_progress_ms = False, now_ms()
+            self.progress.reading_resumed(self.last_progress_ms)
             self.transport.resume_reading()
 
     def on_abandoned(self) -> None:
--- a/tests/ends/test_slow_and_stopped_peers.py
+++ b/tests/ends/test_slow_and_stopped_peers.py
@@ -103,6 +103,8 @@
 
 SOUND_ANSWERS = {
     "long lumps": {"body_bytes": 174_000, "piece": 58_000, "interval": 800},
+    "short lumps": {"body_bytes": 150_000, "piece": 15_000, "interval": 500},
+    "trickle": {"body_bytes": 80_000, "piece": 1000, "interval": 50},
     "small first lump": {"body_bytes": 66_000, "piece": 33_000, "interval": 900},
     "late body": {"body_bytes": 150_000, "body_delay": 650, "piece": 8192, "interval": 10},
 }
