Count a long request's time from when its client may have written the last byte

What callers saw: requests of 12 and 24 MB that their servers read slowly got their 503 or 502 up to 0.8 s past the half second after their time.

Cause: the time started once all of the body lay on this machine, or once nothing had come for the client's whole time. The client has written its last byte before: its system holds some MB that it can't send on while this one takes no more. A body that trickles on never showed a silence.

Evidence: a socket on loopback holds up to 4.20 MB unsent (tcp_wmem 4 MiB) and 0.13 MB unread. At 1.5 MB/s that is 2.9 s.

Change: BodyArrival says before which moment the last byte was not written, by three facts: a byte that is missing while the client's system can send is to come (SO_MEMINFO); what has arrived beyond the bytes that a client's system can hold (tcp_wmem, 4 MiB and a segment) was not written before; all else may have been written. The request ends 503, which is right for every class as its server has only a part of it, 0.12 s past the client's time counted from that moment, or as said before by its arrival if that is earlier. All streamed bodies are looked at each 0.1 s, not only those that are not read now.

Why it works: every answer comes within 0.5 s of the earliest moment from which the client may count; a client that is slow, or a server that reads fast, moves that moment on.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -21,6 +21,7 @@
 from badgercart.core.piece_buffer import Body
 from badgercart.core.ports import UpstreamResponse
 from badgercart.core.streams import ResponseHeaderSection, ResponseSink, Upload, do_nothing
+from badgercart.frontends.http.body_arrival import BodyArrival
 from badgercart.frontends.http.connection import ConnectionState, ConnectionStateMachine
 from badgercart.frontends.http.reader_progress import ReaderProgress
 from badgercart.frontends.http.request_handler import StreamingRequestHandler
@@ -346,9 +347,10 @@
             return page
         return self.listener.request_reader(method, url, headers, body)
 
-    def request_completed(self, request: ClientRequest) -> None:
+    def request_completed(self, request: ClientRequest, arrival: BodyArrival) -> None:
         """Handle that the body of a request has been received completely."""
-        self.start_request_time(request, self.last_arrival_ms())
+        arrival.observe(self.machine.received_bytes, self.last_arrival_ms())
+        self.start_request_time(request, arrival.start_ms())
 
     def last_arrival_ms(self) -> float:
         """Return the clock time at which bytes last arrived on this machine, read or not."""
@@ -357,7 +359,7 @@
         return now_ms() - unread_age_s(self.descriptor) * MS_PER_S
 
     def note_body_arrival(self) -> None:
-        """Start the time of a request whose body waits for its server, once all of it is here."""
+        """Start the time of a streamed request once its last byte is here, or may be overdue."""
         machine = self.machine
         request, arrival = machine.streaming_request, machine.body_arrival
         if request is None or arrival is None or self.transport.is_closing():
@@ -365,11 +367,23 @@
         now, unread = now_ms(), unread_bytes(self.descriptor)
         arrival.observe(machine.received_bytes + (unread or 0), self.last_arrival_ms())
         missing = machine.missing_body_bytes(unread)
-        if missing and may_refuse_input(self.descriptor):
-            missing = None  # the rest may wait in the client's own buffer
-        arrived_ms = arrival.completed_ms(missing, request.timeout_ms, now)
-        if arrived_ms is not None:
-            self.start_request_time(request, arrived_ms)
+        if missing is not None and missing <= 0:
+            self.start_request_time(request, arrival.start_ms())
+            return
+        if self.may_block_client:
+            arrival.note_client_blocked(now)
+        else:
+            may_be_whole = missing is None and machine.has_unparsed_body(unread)
+            arrival.note_client_can_send(now, may_be_whole)
+        start_ms = arrival.overdue_start_ms(missing, request.timeout_ms, now)
+        if start_ms is not None:
+            self.start_request_time(request, start_ms)
+
+    @property
+    def may_block_client(self) -> bool:
+        """Whether the client's system may be unable to send, as this one takes no more."""
+        refuses = may_refuse_input(self.descriptor)
+        return self.machine.reading_paused if refuses is None else refuses
 
     def start_request_time(self, request: ClientRequest, arrived_ms: float) -> None:
         """Note when the last byte of a streamed request arrived. Only the first call counts."""
@@ -398,6 +412,8 @@
         if self in self.listener.paused_clients and self.has_disconnected():
             self.transport.abort()
             return
+        if request.message.upload is not None:
+            self.listener.watch_bodies()
         self.listener.handler.handle_request(self, request)
 
     def pause_reading(self) -> None:
--- a/badgercart/frontends/http/clients.py
+++ b/badgercart/frontends/http/clients.py
@@ -63,9 +63,9 @@
 HANDOVER_IDLE_S = 0.6
 # After this time it closes every connection between two requests, however short it has been idle.
 HANDOVER_CLOSE_ALL_AFTER_S = 1.2
-# How often connections that are not read are checked for what has arrived: the rest of a request, or
-# the end of a client that has left.
-PAUSED_CHECK_INTERVAL_S = 0.1
+# How often streamed bodies, and connections that are not read, are checked for what has arrived: the
+# rest of a request, or the end of a client that has left.
+BODY_CHECK_INTERVAL_S = 0.1
 DRAIN_CHECK_INTERVAL_S = 0.02
 # A client that takes nothing of its response for this time may be evicted.
 READER_STALL_GRACE_MS = 1000.0
@@ -125,7 +125,7 @@
         }
         # Connections whose reading is paused: the event loop does not notice when they end.
         self.paused_clients: set[ClientConnection] = set()
-        self.paused_timer: asyncio.TimerHandle | None = None
+        self.body_timer: asyncio.TimerHandle | None = None
         self.socket: socket.socket | None = None
         self.opened = True  # whether connections may be accepted
         self.accepting = False  # whether the event loop watches the socket
@@ -227,7 +227,7 @@
     def close(self) -> None:
         """Close the listening socket and stop the timers."""
         self.stop_accepting()
-        for timer in (self.timeout_timer, self.paused_timer):
+        for timer in (self.timeout_timer, self.body_timer):
             if timer is not None:
                 timer.cancel()
 
@@ -357,24 +357,25 @@
     def watch_paused_client(self, client: ClientConnection) -> None:
         """Check regularly what arrives on a connection while it is not read."""
         self.paused_clients.add(client)
-        if self.paused_timer is None:
-            self.paused_timer = self.loop.call_later(
-                PAUSED_CHECK_INTERVAL_S, self.check_paused_clients
-            )
+        self.watch_bodies()
+
+    def watch_bodies(self) -> None:
+        """Check regularly what arrives of bodies that are streamed, or not read now."""
+        if self.body_timer is None:
+            self.body_timer = self.loop.call_later(BODY_CHECK_INTERVAL_S, self.check_bodies)
 
-    def check_paused_clients(self) -> None:
+    def check_bodies(self) -> None:
         """Close paused connections whose clients have left; note requests that have arrived."""
+        self.body_timer = None
         for client in [*self.paused_clients]:
             if client.has_disconnected():
                 self.paused_clients.discard(client)
                 client.transport.abort()
-            else:
-                client.note_body_arrival()
-        self.paused_timer = (
-            self.loop.call_later(PAUSED_CHECK_INTERVAL_S, self.check_paused_clients)
-            if self.paused_clients
-            else None
-        )
+        waiting = {*self.paused_clients, *self.uploading}
+        for client in waiting:
+            client.note_body_arrival()
+        if waiting:
+            self.watch_bodies()
 
     def pending_requests(self) -> Iterator[ClientRequest]:
         """Yield the requests that have been read and are not served yet."""
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -143,7 +143,7 @@
     ) -> ClientRequest | OperatorPage:
         """Check a request, whose body may still be being received. Raises BadRequestError."""
 
-    def request_completed(self, request: ClientRequest) -> None:
+    def request_completed(self, request: ClientRequest, arrival: BodyArrival) -> None:
         """Receive the notice that the body of a request has been received completely."""
 
     def error_body(self, status: int, reason: str) -> tuple[bytes, bytes]:
@@ -528,6 +528,10 @@
         arrived_bytes = self.headers.body_bytes + len(self.unparsed) + unread_bytes
         return self.upload.body_length - arrived_bytes
 
+    def has_unparsed_body(self, unread_bytes: int | None) -> bool:
+        """Return whether something of the streamed body has arrived and is not parsed."""
+        return unread_bytes is None or bool(unread_bytes or self.unparsed)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -620,18 +624,19 @@
         request = self.enqueue_request()
         if not isinstance(request, ClientRequest):
             raise BadRequestError(413, "this has no body of such a size")
-        self.streaming_request, self.body_arrival = request, BodyArrival()
+        self.streaming_request = request
+        self.body_arrival = BodyArrival(request.sent_ms, self.received_bytes)
         while self.body:
             self.upload.feed(self.body.pop_piece())
 
     def on_message_complete(self) -> None:
         """Handle the end of a request."""
         if self.upload is not None:
-            upload, request = self.upload, self.streaming_request
+            upload, request, arrival = self.upload, self.streaming_request, self.body_arrival
             self.reset_request()
             # Before the upload ends, so that the time of its attempt starts when its bytes arrived.
-            if request is not None:
-                self.driver.request_completed(request)
+            if request is not None and arrival is not None:
+                self.driver.request_completed(request, arrival)
             upload.finish()
             return
         self.enqueue_request()
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -49,8 +49,8 @@
 _RECEIVE_BUFFER = struct.Struct("=II")
 
 
-def may_refuse_input(descriptor: int) -> bool:
-    """Return whether a socket may take no more input until some is read; False if not known.
+def may_refuse_input(descriptor: int) -> bool | None:
+    """Return whether a socket may take no more input until some is read; None if not known.
 
     The system closes the window before the buffer is full, from half of it on (tcp(7), `tcp_rmem`).
     """
@@ -59,7 +59,7 @@
             info = sock.getsockopt(socket.SOL_SOCKET, _SO_MEMINFO, _RECEIVE_BUFFER.size)
         allocated_bytes, limit_bytes = _RECEIVE_BUFFER.unpack(info)
     except (OSError, struct.error):
-        return False
+        return None
     return bool(allocated_bytes >= limit_bytes / 2)
 
 
--- a/tests/ends/test_slow_and_stopped_peers.py
+++ b/tests/ends/test_slow_and_stopped_peers.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator, Sequence
+from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
 from standins import http1
-from standins.crowd import IDEMPOTENT, KEYED, UNSAFE, request
+from standins.crowd import IDEMPOTENT, KEYED, UNSAFE, request, request_head
 from standins.planned_answers import AnswerPlan
 from tests.net import run
 from tests.pressure.support import deployed
@@ -104,9 +106,9 @@
 SOUND_ANSWERS = {
     "long lumps": {"body_bytes": 174_000, "piece": 58_000, "interval": 800},
     "short lumps": {"body_bytes": 150_000, "piece": 15_000, "interval": 500},
-    "trickle": {"body_bytes": 80_000, "piece": 1000, "interval": 50},
     "small first lump": {"body_bytes": 66_000, "piece": 33_000, "interval": 900},
     "late body": {"body_bytes": 150_000, "body_delay": 650, "piece": 8192, "interval": 10},
+    "trickle": {"body_bytes": 80_000, "piece": 1000, "interval": 50},
 }
 
 
@@ -160,3 +162,69 @@
             assert not any(got.whole and got.status == 200 for got in outcomes.values())
 
     run(test())
+
+
+async def upload(
+    port: int, body_bytes: int, timeout_ms: int, plan: AnswerPlan, chunked: bool, effect: str
+) -> Outcome:
+    """Send a request with a long body as fast as its connection takes it, and receive its response."""
+    loop = asyncio.get_running_loop()
+    fields = {"Transfer-Encoding": "chunked"} if chunked else {"Content-Length": str(body_bytes)}
+    body = bytes(body_bytes)
+    if chunked:
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (body_bytes, body)
+    with closing(socket.create_connection(("127.0.0.1", port))) as sock:
+        sock.setblocking(False)
+        head = request_head(effect, plan, timeout_ms, fields)
+        await loop.sock_sendall(sock, head + b"\r\n" + body)
+        sent_s = time.monotonic()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        try:
+            return await receive(reader, sent_s)
+        finally:
+            writer.transport.abort()
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+@pytest.mark.parametrize("megabytes", [1, 5, 12, 24])
+def test_a_request_that_is_read_slowly_has_its_answer_in_time(
+    megabytes: int, chunked: bool, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with deployed(tmp_path) as deployment:
+            plan = AnswerPlan(read_rate=max(500_000, megabytes * 125_000))
+            cases = [(effect, time_ms) for effect in (KEYED, UNSAFE) for time_ms in (750, 1300)]
+            outcomes = await asyncio.gather(
+                *(
+                    upload(
+                        deployment.node.port, megabytes * 1_000_000, time_ms, plan, chunked, effect
+                    )
+                    for effect, time_ms in cases
+                )
+            )
+            late = {
+                case: got
+                for case, got in zip(cases, outcomes, strict=True)
+                if got.ended_s > case[1] / 1000 + LATEST_S or not got.whole
+            }
+            assert not late, deployment.node.lines
+
+    run(test())
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+@pytest.mark.parametrize(
+    ("megabytes", "rate"), [(2, 6_000_000), (12, 25_000_000), (24, 30_000_000)]
+)
+def test_a_long_request_that_is_read_in_time_is_served(
+    megabytes: int, rate: int, chunked: bool, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with deployed(tmp_path) as deployment:
+            plan = AnswerPlan(read_rate=rate)
+            got = await upload(
+                deployment.node.port, megabytes * 1_000_000, 1300, plan, chunked, KEYED
+            )
+            assert got.status == 200, (got, deployment.node.lines)
+
+    run(test())
--- a/tests/frontends/test_connection.py
+++ b/tests/frontends/test_connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -45,6 +46,7 @@
         self.open_requests: deque[ClientRequest] = deque()
         self.is_reading, self.finished, self.eager = True, False, False
         self.request_count = 0
+        self.waited_since_ms = math.inf
         self.streams_bodies = False
         self.machine: ConnectionStateMachine
         self.turns: deque[Callable[[], None]] = deque()
--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -213,7 +213,7 @@
 ) -> None:
     # Guards against a request that is answered seconds late: its last byte had arrived on the
     # node's machine, but its time started only once the node had read it.
-    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(clients, "BODY_CHECK_INTERVAL_S", 0.01)
 
     async def test() -> None:
         async with hanging(monkeypatch) as (stand, server, client):
@@ -237,7 +237,7 @@
 ) -> None:
     # Guards against a request that is answered seconds late: its last byte was written, but could
     # not arrive, as the node's own receive buffer was full.
-    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(clients, "BODY_CHECK_INTERVAL_S", 0.01)
 
     async def test() -> None:
         async with hanging(monkeypatch) as (stand, server, _):
@@ -268,7 +268,7 @@
         checks += 1
         note_body_arrival(self)
 
-    monkeypatch.setattr(clients, "PAUSED_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(clients, "BODY_CHECK_INTERVAL_S", 0.01)
     monkeypatch.setattr(ClientConnection, "note_body_arrival", counted)
     body = bytes(2 * MAX_STREAM_WINDOW_BYTES + BLOCKING_BYTES)
 
