Tell a server what is left of a long request's time that may have started before

What callers would see: a server is told the whole time of a request whose client wrote all of its body long ago: 1,970 ms where 1,600 were left after 0.4 s in the backlog (0.15 s more are allowed), open since the incident of bodies that wait unread.

Cause: until its last byte has arrived, an attempt was told its whole time. Of a body over 64 KiB, that arrives only as the first bytes are read, and by then the age of the unread bytes is gone.

Change: the age of what waits on a connection is looked up as it is accepted, before anything is read. A streamed body's last byte may have been written then; an attempt is told its time less what has passed since the last byte may have been written (BodyArrival).

--- a/badgercart/core/streams.py
+++ b/badgercart/core/streams.py
@@ -72,6 +72,8 @@
         self.complete = False  # all of it has been received
         # The clock time at which its last byte arrived on this machine; infinite: not known.
         self.arrived_ms = math.inf
+        # A clock time before which its last byte was not written by the client.
+        self.written_after_ms = math.inf
         self.on_data: Callable[[], None] = do_nothing
         self.on_space: Callable[[], None] = do_nothing
         self.on_abandoned: Callable[[], None] = do_nothing
--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -67,6 +67,9 @@
         self.charge = MemoryCharge(listener.memory_budget)
         self.output = OutputBuffer()
         self.reader_progress = ReaderProgress()
+        # When the system received what waited for the connection to be accepted, until it is read.
+        self.backlog_received_ms = math.inf
+        self.waited_since_ms = math.inf
 
     # Callbacks of the transport.
 
@@ -79,6 +82,8 @@
             self, listener.loop.time(), listener.open_request_names, listener.waiting_since
         )
         self.output.attach(self.transport)
+        if unread_bytes(self.descriptor):
+            self.backlog_received_ms = self.last_arrival_ms()
         if listener.memory_budget is not None:
             listener.memory_budget.connection_count += 1
 
@@ -124,6 +129,7 @@
         """Handle bytes from the client."""
         now_s = self.listener.loop.time()
         received_s = now_s
+        self.waited_since_ms, self.backlog_received_ms = self.backlog_received_ms, math.inf
         if self.machine.state in UNREAD_STATES:
             # It may have waited in the backlog, or while the node was starting.
             received_s -= unread_age_s(self.descriptor)
@@ -375,6 +381,8 @@
         else:
             may_be_whole = missing is None and machine.has_unparsed_body(unread)
             arrival.note_client_can_send(now, may_be_whole)
+        if machine.upload is not None:
+            machine.upload.written_after_ms = arrival.written_after_ms(missing)
         start_ms = arrival.overdue_start_ms(missing, request.timeout_ms, now)
         if start_ms is not None:
             self.start_request_time(request, start_ms)
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -129,6 +129,13 @@
     def stream_window_bytes(self) -> int:
         """Return how many bytes of a streamed body may wait to be forwarded."""
 
+    @property
+    def waited_since_ms(self) -> float:
+        """The clock time since which the input has waited for its connection to be accepted.
+
+        Infinite where it has not.
+        """
+
     def call_soon(self, callback: Callable[[], None]) -> None:
         """Call back after the current event has been handled."""
 
@@ -564,7 +571,7 @@
     def on_headers_complete(self) -> None:
         """Check the header section, before any of the body is received."""
         headers, version = self.headers, self.parser.get_http_version()
-        headers.complete = True
+        headers.complete, headers.waited_since_ms = True, self.driver.waited_since_ms
         if version not in ("1.0", "1.1"):
             raise BadRequestError(505, "only HTTP/1.0 and HTTP/1.1 are spoken here")
         # The parser ignores transfer encodings that it does not know; HTTP/1.0 has none.
@@ -625,7 +632,9 @@
         if not isinstance(request, ClientRequest):
             raise BadRequestError(413, "this has no body of such a size")
         self.streaming_request = request
-        self.body_arrival = BodyArrival(request.sent_ms, self.received_bytes)
+        begun_ms = min(request.sent_ms, headers.waited_since_ms)
+        self.body_arrival = BodyArrival(begun_ms, self.received_bytes)
+        self.upload.written_after_ms = begun_ms
         while self.body:
             self.upload.feed(self.body.pop_piece())
 
--- a/badgercart/frontends/http/requests.py
+++ b/badgercart/frontends/http/requests.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -87,7 +88,7 @@
     __slots__ = (
         "body_bytes", "complete", "content_length", "expected_work_ms", "expects_continue",
         "fault", "field_count", "forwarded_lines", "header_bytes", "idempotency_key", "is_client_retry", "is_http10",
-        "request_id", "tenant", "timeout_ms", "transfer_encoding", "upload", "waited_ms",
+        "request_id", "tenant", "timeout_ms", "transfer_encoding", "upload", "waited_ms", "waited_since_ms",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -95,6 +96,8 @@
         self.header_bytes = self.content_length = self.field_count = 0
         self.body_bytes = 0  # received so far
         self.expects_continue = self.complete = False
+        # The clock time since which it has waited for its connection to be accepted; infinite: it has not.
+        self.waited_since_ms = math.inf
         self.waited_ms = 0.0  # since its last byte was received, behind other requests
         # The body, where it is streamed; None where it is buffered.
         self.upload: Upload | None = None
--- a/tests/pressure/test_unread_requests.py
+++ b/tests/pressure/test_unread_requests.py
@@ -13,7 +13,7 @@
     MemoryBudget,
 )
 from badgercart.policy.events import Request, RequestCompleted
-from tests.net import WAIT_S, NodeHarness, ScriptedServer, field, request, run, running
+from tests.net import WAIT_S, Client, NodeHarness, ScriptedServer, field, request, run, running
 
 WAITED_S = 0.4
 TIMEOUT_MS = 2000
@@ -21,14 +21,20 @@
 SLACK_MS = 150
 
 
-async def expect_answer_from_backlog(stand: NodeHarness, data: bytes) -> None:
-    """Send a request that waits in the backlog for `WAITED_S`, and expect that it is served."""
+async def send_from_backlog(stand: NodeHarness, data: bytes) -> Client:
+    """Send a request that waits in the backlog for `WAITED_S`."""
     stand.node.listener.opened = False  # as while a new process waits for its list
     stand.node.listener.pause_accepting()
     client = await stand.client()
     client.writer.write(data)
     await asyncio.sleep(WAITED_S)
     stand.node.listener.open()
+    return client
+
+
+async def expect_answer_from_backlog(stand: NodeHarness, data: bytes) -> None:
+    """Send a request that waits in the backlog for `WAITED_S`, and expect that it is served."""
+    client = await send_from_backlog(stand, data)
     assert (await client.answer())[0] == 200
 
 
@@ -68,3 +74,27 @@
             assert left_ms <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
 
     run(test())
+
+
+LONG_BODY = bytes(300_000)
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_a_long_body_that_waited_in_the_backlog_is_not_given_its_whole_time(chunked: bool) -> None:
+    # Guards against a server that is told the whole time of a body whose client wrote it long before.
+    data = request("pay", timeout=f"{TIMEOUT_MS}m", body=LONG_BODY)
+    if chunked:
+        head = request("pay", timeout=f"{TIMEOUT_MS}m")
+        head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        data = head + b"%x\r\n%b\r\n0\r\n\r\n" % (len(LONG_BODY), LONG_BODY)
+
+    async def test() -> None:
+        server = await ScriptedServer().start()
+        async with running(server) as stand:
+            await send_from_backlog(stand, data)
+            head = await asyncio.wait_for(server.requests.get(), WAIT_S)
+            told = field(head, b"Request-Timeout")
+            assert told is not None
+            assert int(told[:-1]) <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
+
+    run(test())
