Let servers finish the answers that they write when the process is told to end

Cause: the drain waits for clients until the time at which the platform may kill the process, and then ends it.

Change: after that it goes on for as long as a response is being streamed or not all of one has been sent, 30 s at most. It takes no new connections, and closes idle ones. What has stopped within an answer does not keep it: its own limits end that.

Why it works: what ends an answer early is then the platform alone.

--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -17,7 +17,7 @@
 from badgercart.core.request_ledger import RequestLedger
 from badgercart.core.request_pipeline import RequestPipeline
 from badgercart.frontends.http.client_connection import ClientConnection
-from badgercart.frontends.http.clients import Listener
+from badgercart.frontends.http.clients import DRAIN_CHECK_INTERVAL_S, Listener
 from badgercart.frontends.http.log_events import (
     HANDING_OVER,
     LISTENING,
@@ -190,6 +190,19 @@
         HANDING_OVER(held=len(self.pipeline.in_flight), connections=len(self.listener.connections))
         await self.listener.hand_over(deadline_ms)
 
+    async def finish_responses(self, limit_ms: float) -> None:
+        """Let servers finish the responses that are being streamed; ends at `limit_ms` at the latest."""
+        while self.has_unfinished_response and now_ms() < limit_ms:
+            self.listener.close_idle()
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+
+    @property
+    def has_unfinished_response(self) -> bool:
+        """Whether a response is being streamed, or not all of one has been sent."""
+        return self.memory_budget.stream_count > 0 or any(
+            client.write_paused for client in self.listener.connections
+        )
+
     def close(self) -> None:
         """Close the listener."""
         self.listener.close()
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -44,6 +44,9 @@
 # SIGKILL follows SIGTERM after the longest deadline and 0.7 s at the earliest, but a deadline
 # counts for this at most.
 MAX_DRAIN_MS = 3000.0
+# What ends a process that is told to end may come much later than it has to. Until then servers go on
+# with the responses that have begun, for as long as a client that takes nothing of one is waited for.
+MAX_RESPONSE_DRAIN_MS = 30_000.0
 # The part of its limits that each process uses while two of them run side by side.
 SIDE_BY_SIDE_SHARE = 0.5
 
@@ -229,6 +232,7 @@
             await self.frontend.hand_over(deadline_ms)
         else:
             await self.frontend.drain(deadline_ms)
+        await self.frontend.finish_responses(now_ms() + MAX_RESPONSE_DRAIN_MS)
         # Discovery runs until here, since requests may be retried until they are answered.
         self.close()
         STOPPED()
--- a/tests/ends/test_slow_and_stopped_peers.py
+++ b/tests/ends/test_slow_and_stopped_peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -24,6 +25,7 @@
 
 LATEST_S = 0.5 + 0.05  # after the client's time
 LONG_ANSWER_S = 15.0
+END_S = 5.0  # of a process that has nothing left to do
 # A part of an answer may wait this long at the node: for the first tenth of a second a short one is
 # held back, so that it can be sent as a whole.
 PASS_ON_S = 0.3
@@ -164,6 +166,42 @@
     run(test())
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_process_that_is_told_to_end_lets_servers_finish_what_they_write(
+    framing: str, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with deployed(tmp_path) as deployment:
+            node = deployment.node
+            plan = planned(framing, body_bytes=290_000, piece=58_000, interval=800)
+            asking = asyncio.ensure_future(ask_all(node.port, plan, (1300,)))
+            await asyncio.sleep(0.5)
+            node.signal(signal.SIGTERM)
+            outcomes = await asking
+            assert all(got.whole and got.body_bytes == 290_000 for got in outcomes.values())
+            assert await asyncio.wait_for(node.process.wait(), END_S) == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("framing", OPEN_ENDED)
+def test_a_process_that_is_told_to_end_does_not_wait_for_a_server_that_has_stopped(
+    framing: str, tmp_path: Path
+) -> None:
+    async def test() -> None:
+        async with deployed(tmp_path) as deployment:
+            node = deployment.node
+            plan = planned(framing, body_bytes=60_000, hang_after=8)
+            asking = asyncio.ensure_future(ask_all(node.port, plan, (1300,)))
+            await asyncio.sleep(0.5)
+            node.signal(signal.SIGTERM)
+            outcomes = await asking
+            assert all(got.ended_s < 1.3 + LATEST_S for got in outcomes.values())
+            assert await asyncio.wait_for(node.process.wait(), END_S) == 0
+
+    run(test())
+
+
 async def upload(
     port: int, body_bytes: int, timeout_ms: int, plan: AnswerPlan, chunked: bool, effect: str
 ) -> Outcome:
