Begin no answer of which only the head is there where the process ends too soon for its body

Cause: at the end of an attempt's time a head is passed on alone. From then on the request is none of those that get their answer before the process ends.

Change: where a request's time is limited by the end of the process, its head is held back, and it is answered with the others, 502 or 503. Why it works: what is not begun can still get a whole answer.

Measured: both cases of the new test failed before; tests/ends, upstream, core, graphql, bulk held once.

--- a/badgercart/core/request_pipeline.py
+++ b/badgercart/core/request_pipeline.py
@@ -364,6 +364,11 @@
             return math.inf
         return in_flight.request.deadline_ms
 
+    def is_cut_short(self, request_id: int) -> bool:
+        """Return whether the process ends before a request's time is over."""
+        in_flight = self.in_flight.get(request_id)
+        return in_flight is not None and in_flight.request.deadline_ms >= self.shutdown_deadline_ms
+
     def attempt_ended(
         self,
         request_id: int,
--- a/badgercart/frontends/http/frontend.py
+++ b/badgercart/frontends/http/frontend.py
@@ -84,7 +84,7 @@
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, pipeline.attempt_ended,
             pipeline.response_started, self.memory_budget, config.source, pipeline.is_awaited,
-            pipeline.latest_write_ms, pipeline.response_deadline_ms,
+            pipeline.latest_write_ms, pipeline.response_deadline_ms, pipeline.is_cut_short,
         )  # fmt: skip
         endpoint_table.on_change.append(self.pool.update)
         reader = platform_request_reader(config, stream_responses=True)
--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -104,6 +104,11 @@
     return True
 
 
+def never_cut_short(request_id: int) -> bool:
+    """Return False, where the end of the process is not known."""
+    return False
+
+
 def any_time(request_id: int, attempt_number: int) -> float:
     """Return infinity, where nothing limits when an attempt may be written."""
     return math.inf
@@ -136,10 +141,11 @@
         is_awaited: Callable[[int], bool] = assume_awaited,
         latest_write_ms: Callable[[int, int], float] = any_time,
         response_deadline_ms: Callable[[int], float] = no_deadline,
+        is_cut_short: Callable[[int], bool] = never_cut_short,
     ) -> None:
         self.loop = loop
         self.response_deadlines = ResponseDeadlines(loop, response_deadline_ms, self.end_timed_out)
-        self.is_awaited = is_awaited
+        self.is_awaited, self.is_cut_short = is_awaited, is_cut_short
         self.latest_write_ms = latest_write_ms
         self.local_address = (source_address, 0) if source_address else None
         self.connect_timeout_ms = connect_timeout_ms
@@ -520,7 +526,10 @@
         if attempt.phase is AttemptPhase.STREAMING_REQUEST:
             UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
         elif connection is not None and connection.exchange.awaits_long_body:
-            connection.start_streaming()
+            # A head alone is no use to a client whose process ends before its body may come: the
+            # request is ended with the others then.
+            if connection.exchange.body or not self.is_cut_short(attempt.request_id):
+                connection.start_streaming()
             return
         # Where no connection was established in the whole time, nothing was sent.
         self.end_timed_out(attempt)
--- a/tests/ends/test_drain.py
+++ b/tests/ends/test_drain.py
@@ -19,6 +19,7 @@
     Client,
     NodeHarness,
     ScriptedServer,
+    answer,
     answer_after,
     request,
     run,
@@ -199,3 +200,27 @@
             assert not join.in_flight
 
     run(test())
+
+
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+
+
+@pytest.mark.usefixtures("short_shutdown")
+@pytest.mark.parametrize("form", HEADS)
+def test_an_answer_whose_body_comes_too_late_for_the_end_of_the_process_is_not_begun(
+    form: str,
+) -> None:
+    async def test() -> None:
+        peer = await ScriptedServer(answer(HEADS[form])).start()
+        async with running(peer, aim=100.0) as stand:
+            draining = asyncio.ensure_future(stand.node.drain())
+            await asyncio.sleep(0)
+            client = await stand.client()
+            status, _, _ = await client.ask(request("pay"))  # its timeout is 8 s
+            assert status == 502
+            await draining
+
+    run(test())
