Give free heap back at each reading over the usable memory, and reserve the smallest reads

Cause, by a trace of each reading: over the limit, up to 4 MB of free heap waited for the next trim, which came each 0.5 s; and 619 connections took 4 kB each beside the headroom, which had been given out to them already.

Change: over the usable part of the limit the heap is trimmed at each reading (1 ms), and what connections take at least is no headroom.

--- a/badgercart/core/memory_budget.py
+++ b/badgercart/core/memory_budget.py
@@ -69,10 +69,16 @@
         """What messages and connections hold."""
         return self.buffered_bytes + CONNECTION_BYTES * self.connection_count
 
+    @property
+    def minimum_bytes(self) -> int:
+        """What connections may take whatever the limits are."""
+        return MIN_READ_BYTES * self.connection_count
+
     def _limit(self, part: float, share: float, least: int, most: int) -> int:
         """Return a share of what is left of a part of the budget, between two bounds."""
         left = min(
-            part * self.total_bytes - self.buffered_bytes, self.ceiling_bytes - self.held_bytes
+            part * self.total_bytes - self.buffered_bytes,
+            self.ceiling_bytes - self.held_bytes - self.minimum_bytes,
         )
         limit = share * left
         return most if limit >= most else max(least, int(limit))
--- a/badgercart/core/memory_watch.py
+++ b/badgercart/core/memory_watch.py
@@ -26,7 +26,7 @@
 USABLE_SHARE = 0.9
 # Of the limit; from there on the heap gives back what is free in it.
 TRIM_SHARE = 0.7
-TRIM_INTERVAL_S = 0.5
+TRIM_INTERVAL_S = 0.5  # while the process is within what it may use
 # The heap is searched once so much more than before is resident beside buffered messages.
 MIN_FREE_BYTES = 1 << 20
 IDLE_FREE_BYTES = 4 << 20  # far from the limit
@@ -107,16 +107,21 @@
     def act(self, relieve: Relieve) -> None:
         """Limit what the budget gives out by what is left, and free memory where that is too little."""
         self.readings_until_trim -= 1
-        if self.readings_until_trim <= 0 and self.has_free_heap:
+        if self.has_free_heap and (self.readings_until_trim <= 0 or self.headroom_bytes < 0):
             self.readings_until_trim = round(TRIM_INTERVAL_S / INTERVAL_S)
             self.trim()
             self.observe(self.read())
             self.trimmed_bytes = self.unaccounted_bytes
-        headroom = int(USABLE_SHARE * self.limit_bytes) - self.resident_bytes
+        headroom = self.headroom_bytes
         self.budget.set_headroom(headroom)
         if headroom < 0 and (freed_bytes := relieve(-headroom)):
             MEMORY_RELIEVED(resident=self.resident_bytes, limit=self.limit_bytes, freed=freed_bytes)
 
+    @property
+    def headroom_bytes(self) -> int:
+        """How much more may be used; negative where connections have to end."""
+        return int(USABLE_SHARE * self.limit_bytes) - self.resident_bytes
+
     @property
     def has_free_heap(self) -> bool:
         """Whether the heap may have much that it can give back."""
