Have a planned server pause between the parts of an answer only

With a stated length the answer was whole by then, and the next request on the connection, sent 58 ms before the server was told to drain, was read by it 0.78 s later. No fault of the node.

--- a/standins/planned_answers.py
+++ b/standins/planned_answers.py
@@ -182,7 +182,7 @@
         await writer.drain()
         if plan.reset_after and written >= plan.reset_after:
             raise ConnectionResetError
-        if plan.interval:
+        if plan.interval and written < given_bytes:
             await asyncio.sleep(plan.interval / 1000)
     if plan.hang_after >= 0:
         await asyncio.Event().wait()
