--- a/badgercart/upstream/connection_pool.py
+++ b/badgercart/upstream/connection_pool.py
@@ -51,6 +51,7 @@
 STALL_CHECK_INTERVAL_S = 0.05
 # A streamed attempt is aborted when the server sends or reads nothing for this time.
 SERVER_STALL_TIMEOUT_MS = 10_000.0
+STREAMING_PHASES = (AttemptPhase.STREAMING_REQUEST, AttemptPhase.STREAMING_RESPONSE)
 # A streamed response is aborted when its client takes nothing for this time.
 CLIENT_STALL_TIMEOUT_MS = 30_000.0
 
@@ -489,25 +490,32 @@
         now = now_ms()
         for connection in [*self.connections]:
             attempt = connection.attempt
-            if attempt is None or attempt.phase not in (
-                AttemptPhase.STREAMING_REQUEST,
-                AttemptPhase.STREAMING_RESPONSE,
-            ):
-                continue
-            # A slow upload is up to its client: only a server that does not read counts as stalled.
-            is_stalled = (
-                connection.write_paused if attempt.phase is AttemptPhase.STREAMING_REQUEST else True
-            )
-            if connection.read_paused:
-                is_over = connection.client_stalled_ms(now) > CLIENT_STALL_TIMEOUT_MS
-            else:
-                is_over = is_stalled and now - connection.last_progress_ms > SERVER_STALL_TIMEOUT_MS
-            if is_over:
-                if attempt.phase is AttemptPhase.STREAMING_REQUEST:
-                    UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
-                elif not connection.read_paused:
-                    log_stopped(connection, attempt)
+            if attempt is not None and self.has_stalled(connection, attempt.phase, now):
+                self.log_stalled(connection, attempt)
                 self.end_timed_out(attempt)
+        self.close_long_idle(now)
+
+    @staticmethod
+    def has_stalled(connection: ServerConnection, phase: AttemptPhase, now: float) -> bool:
+        """Return whether a stream has made no progress for longer than either side is waited for."""
+        if phase not in STREAMING_PHASES:
+            return False
+        if connection.read_paused:
+            return connection.client_stalled_ms(now) > CLIENT_STALL_TIMEOUT_MS
+        # A slow upload is up to its client: only a server that does not read counts as stalled.
+        waits_for_server = phase is AttemptPhase.STREAMING_RESPONSE or connection.write_paused
+        return waits_for_server and now - connection.last_progress_ms > SERVER_STALL_TIMEOUT_MS
+
+    @staticmethod
+    def log_stalled(connection: ServerConnection, attempt: Attempt) -> None:
+        """Log that a server has stopped; that a client has is up to the client."""
+        if attempt.phase is AttemptPhase.STREAMING_REQUEST:
+            UPLOAD_TIMED_OUT(server=attempt.server.endpoint)
+        elif not connection.read_paused:
+            log_stopped(connection, attempt)
+
+    def close_long_idle(self, now: float) -> None:
+        """Close connections that have been idle for as long as they may."""
         before = now - self.idle_timeout.limit_ms
         for server in self.servers.values():
             while server.idle_connections and server.idle_connections[0].idle_since_ms < before:
