Count the time in which a request waited unread on an open connection as its client's

What callers would see: a process that is held up takes requests that came meanwhile on open connections for new: a server was told 539 ms where 170 were left (0.15 s more are allowed), after a stop of 0.4 s.

Cause: how long the unread bytes have been here was looked up on new connections, and within a request, not between two requests.

Change: it is looked up in that state too.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -46,8 +46,8 @@
 if TYPE_CHECKING:
     from badgercart.frontends.http.clients import Listener
 
-# The states in which the first request of a connection may be read long after it arrived, in parts.
-UNREAD_STATES = (ConnectionState.NEW, ConnectionState.RECEIVING)
+# The states in which a request may be read long after it arrived, in parts.
+UNREAD_STATES = (ConnectionState.NEW, ConnectionState.IDLE, ConnectionState.RECEIVING)
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -134,7 +134,7 @@
         received_s = now_s
         self.waited_since_ms, self.backlog_received_ms = self.backlog_received_ms, math.inf
         if self.machine.state in UNREAD_STATES:
-            # It may have waited in the backlog, or while the node was starting.
+            # It may have waited in the backlog, or while the process was held up.
             received_s -= unread_age_s(self.descriptor)
         self.machine.received(reading.read_bytes(nbytes), now_s, received_s)
         self.update_charge()
--- a/tests/pressure/test_unread_requests.py
+++ b/tests/pressure/test_unread_requests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+from pathlib import Path
 
 import pytest
 
@@ -13,10 +15,14 @@
     MemoryBudget,
 )
 from badgercart.policy.events import Request, RequestCompleted
+from standins.crowd import read_response
+from standins.crowd import request as planned_request
 from tests.net import WAIT_S, Client, NodeHarness, ScriptedServer, field, request, run, running
+from tests.pressure.support import deployed
 
 WAITED_S = 0.4
 TIMEOUT_MS = 2000
+SHORT_TIMEOUT_MS = 570  # under the latency objective, which limits what a server is told
 # By the standing terms, a server may be told so much more than the client has left.
 SLACK_MS = 150
 
@@ -98,3 +104,30 @@
             assert int(told[:-1]) <= TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
 
     run(test())
+
+
+def test_a_request_that_waited_on_an_open_connection_is_not_given_its_whole_time(
+    tmp_path: Path,
+) -> None:
+    # Guards against a process that is held up, and takes what waited meanwhile for new.
+    async def test() -> None:
+        async with deployed(tmp_path) as deployment:
+            node = deployment.node
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
+            writer.write(planned_request())
+            assert (await read_response(reader))[0] == 200
+            node.signal(signal.SIGSTOP)
+            writer.write(planned_request(timeout_ms=SHORT_TIMEOUT_MS, request_id="late"))
+            await asyncio.sleep(WAITED_S)
+            node.signal(signal.SIGCONT)
+            assert (await read_response(reader))[0] == 200
+            (received,) = (
+                received
+                for server in deployment.servers
+                for received in server.received
+                if received.request_id == "late"
+            )
+            assert received.timeout_ms <= SHORT_TIMEOUT_MS - WAITED_S * 1000 + SLACK_MS
+            writer.close()
+
+    run(test())
