Count a soak's request from when it is written, not from when it is drawn

By a trace, the client's connect took 0.24 s, as the soak's own loop was held up for 0.19 s. The protocol counts from the last byte.

--- a/lab/trial/soak_clients.py
+++ b/lab/trial/soak_clients.py
@@ -161,6 +161,7 @@
         wait_s = item.timeout_ms / 1000 + LATE_S
         writer.transport.set_write_buffer_limits(0)
         try:
+            item.sent_s = time.monotonic()  # a connection may have taken long to come up
             writer.write(data)
             await writer.drain()
         except OSError:
