Take a client for one that can send only where its system has room for a whole segment

Cause: a receive buffer that is less than half full was taken for one whose client can send. A system that has read a part of a large segment announces no window, or one that holds no whole segment, and then the peer sends by its persist timer alone. So the request's time never started.

Change: the client can send where nothing is unread here, or where the announced window, less what is unread, holds a segment (TCP_INFO, rcv_wnd, since Linux 6.2). Where the system does not tell, only the first counts. SO_MEMINFO is not asked any more.

Measured: windows on loopback while a blocked client's bytes are read 4 to 30 kB at a time are 0, 15 kB or stale until the next acknowledgement; the new test has these.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -34,7 +34,7 @@
 from badgercart.frontends.http.socket_input import (
     DISCONNECT_EVENTS,
     borrowed_socket,
-    may_refuse_input,
+    has_open_window,
     peer_window_bytes,
     poll_socket,
     set_reset_on_close,
@@ -397,7 +397,8 @@
         if missing is not None and missing <= 0:
             self.start_request_time(request, arrival.start_ms())
             return
-        if self.may_block_client:
+        # What is unread makes the window smaller.
+        if unread is None or (unread and not has_open_window(self.descriptor, unread)):
             arrival.note_client_blocked(now)
         else:
             may_be_whole = missing is None and machine.has_unparsed_body(unread)
@@ -408,12 +409,6 @@
         if start_ms is not None:
             self.start_request_time(request, start_ms)
 
-    @property
-    def may_block_client(self) -> bool:
-        """Whether the client's system may be unable to send, as this one takes no more."""
-        refuses = may_refuse_input(self.descriptor)
-        return self.machine.reading_paused if refuses is None else refuses
-
     def start_request_time(self, request: ClientRequest, arrived_ms: float) -> None:
         """Note when the last byte of a streamed request arrived. Only the first call counts."""
         upload = request.message.upload
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -43,24 +43,24 @@
     return count[0]
 
 
-# Of asm-generic/socket.h: how much memory a socket uses, of which the first two are the receive
-# buffer's allocated bytes and its limit.
-_SO_MEMINFO = 55
-_RECEIVE_BUFFER = struct.Struct("=II")
+# Of struct tcp_info: the largest segment, and the window that was announced last, since Linux 6.2.
+_RECEIVE_WINDOW = struct.Struct("=84xI144xI")
 
 
-def may_refuse_input(descriptor: int) -> bool | None:
-    """Return whether a socket may take no more input until some is read; None if not known.
+def has_open_window(descriptor: int, unread: int) -> bool:
+    """Return whether a socket's peer can send a whole segment; False where the system does not tell.
 
-    The system closes the window before the buffer is full, from half of it on (tcp(7), `tcp_rmem`).
+    A peer that has more to send waits until the window has room for one, for seconds if need be
+    (RFC 9293, section 3.8.6.2.1). Bytes that are `unread` may have come since the window was
+    announced.
     """
     try:
         with borrowed_socket(descriptor) as sock:
-            info = sock.getsockopt(socket.SOL_SOCKET, _SO_MEMINFO, _RECEIVE_BUFFER.size)
-        allocated_bytes, limit_bytes = _RECEIVE_BUFFER.unpack(info)
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _RECEIVE_WINDOW.size)
+        segment_bytes, window_bytes = _RECEIVE_WINDOW.unpack(info)
     except (OSError, struct.error):
-        return None
-    return bool(allocated_bytes >= limit_bytes / 2)
+        return False
+    return bool(window_bytes - unread >= segment_bytes)
 
 
 def undelivered_bytes(descriptor: int) -> int:
--- a/tests/frontends/test_body_arrival.py
+++ b/tests/frontends/test_body_arrival.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 
 import pytest
@@ -13,7 +14,7 @@
     MIN_LOOK_BYTES,
     BodyArrival,
 )
-from badgercart.frontends.http.socket_input import may_refuse_input, unread_bytes
+from badgercart.frontends.http.socket_input import has_open_window, unread_bytes
 
 TIMEOUT_MS = 300.0
 BEGUN_MS = 1000.0
@@ -99,4 +100,21 @@
         assert unread_bytes(reader.fileno()) == 1234
     with open("/dev/null") as no_socket:
         assert unread_bytes(no_socket.fileno()) is None
-        assert may_refuse_input(no_socket.fileno()) is None
+        assert not has_open_window(no_socket.fileno(), 0)
+
+
+def test_a_connection_whose_window_holds_no_whole_segment_may_block_its_client() -> None:
+    # Guards against a client that is taken for one that could send, as its receive buffer is not half full.
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        with client, accepted:
+            assert has_open_window(accepted.fileno(), 0)
+            client.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    client.send(bytes(65536))
+            unread = unread_bytes(accepted.fileno()) or 0
+            assert not has_open_window(accepted.fileno(), unread)
+            accepted.recv(4096)
+            assert not has_open_window(accepted.fileno(), unread - 4096)
