Have the test of a body that has not arrived whole leave room for it in any segments

Cause, by its log: 271,965 bytes stayed buffered for 102 readings, 5.1 s, which is the request's time. The body was made to fit into the node's window and its receive buffer; in small segments it takes more room there, so that its end waited at the client, and the request was rightly ended.

Change: the listening socket's receive buffer is as large as the body. The test asks for the same as before.

--- a/tests/upstream/test_upload_timeouts.py
+++ b/tests/upstream/test_upload_timeouts.py
@@ -273,7 +273,12 @@
     body = bytes(2 * MAX_STREAM_WINDOW_BYTES + BLOCKING_BYTES)
 
     async def test() -> None:
-        async with hanging(monkeypatch) as (stand, server, client):
+        async with hanging(monkeypatch) as (stand, server, _):
+            # All but the last byte fits into the node's machine, in whatever segments it comes.
+            listening = stand.node.listener.socket
+            assert listening is not None
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, len(body))
+            client = await stand.client()
             rest = await send_until_blocked(stand, client, long_request("length", "5000m", body))
             client.writer.write(rest[:-1])
             async with asyncio.timeout(WAIT_S):
