Ask TCP_INFO in one place, and drop state and branches that the incident's fixes left

Found by reading the change again: three functions of socket_input.py differed in the fields that they unpack alone; two attributes of a client's connection said what one can; one branch of has_unparsed_body could not be reached; a comparison with infinity stood three times in a row.

No change of behaviour. tests/frontends, upstream, ends, bulk and tests/pressure/test_unread_requests.py held once.

--- a/badgercart/frontends/http/client_connection.py
+++ b/badgercart/frontends/http/client_connection.py
@@ -68,8 +68,7 @@
         self.charge = MemoryCharge(listener.memory_budget)
         self.output = OutputBuffer()
         self.reader_progress = ReaderProgress()
-        # When the system received what waited for the connection to be accepted, until it is read.
-        self.backlog_received_ms = math.inf
+        # When the system received what waited for the connection to be accepted, for the first read.
         self.waited_since_ms = math.inf
 
     # Callbacks of the transport.
@@ -86,7 +85,7 @@
         # Before anything is written: what is unread at the client makes its window smaller.
         self.observe_window()
         if unread_bytes(self.descriptor):
-            self.backlog_received_ms = self.last_arrival_ms()
+            self.waited_since_ms = self.last_arrival_ms()
         if listener.memory_budget is not None:
             listener.memory_budget.connection_count += 1
 
@@ -132,7 +131,8 @@
         """Handle bytes from the client."""
         now_s = self.listener.loop.time()
         received_s = now_s
-        self.waited_since_ms, self.backlog_received_ms = self.backlog_received_ms, math.inf
+        if self.machine.received_bytes:
+            self.waited_since_ms = math.inf
         if self.machine.state in UNREAD_STATES:
             # It may have waited in the backlog, or while the process was held up.
             received_s -= unread_age_s(self.descriptor)
--- a/badgercart/frontends/http/connection.py
+++ b/badgercart/frontends/http/connection.py
@@ -535,9 +535,9 @@
         arrived_bytes = self.headers.body_bytes + len(self.unparsed) + unread_bytes
         return self.upload.body_length - arrived_bytes
 
-    def has_unparsed_body(self, unread_bytes: int | None) -> bool:
+    def has_unparsed_body(self, unread_bytes: int) -> bool:
         """Return whether something of the streamed body has arrived and is not parsed."""
-        return unread_bytes is None or bool(unread_bytes or self.unparsed)
+        return bool(unread_bytes or self.unparsed)
 
     # Callbacks of the parser.
 
--- a/badgercart/frontends/http/socket_input.py
+++ b/badgercart/frontends/http/socket_input.py
@@ -43,6 +43,16 @@
     return count[0]
 
 
+def _tcp_info(descriptor: int, fields: struct.Struct) -> tuple[int, ...] | None:
+    """Return fields of struct tcp_info (linux/tcp.h); None where the system does not tell them."""
+    try:
+        with borrowed_socket(descriptor) as sock:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, fields.size)
+        return fields.unpack(info)
+    except (OSError, struct.error):
+        return None
+
+
 # Of struct tcp_info: the largest segment, and the window that was announced last, since Linux 6.2.
 _RECEIVE_WINDOW = struct.Struct("=84xI144xI")
 
@@ -54,13 +64,11 @@
     (RFC 9293, section 3.8.6.2.1). Bytes that are `unread` may have come since the window was
     announced.
     """
-    try:
-        with borrowed_socket(descriptor) as sock:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _RECEIVE_WINDOW.size)
-        segment_bytes, window_bytes = _RECEIVE_WINDOW.unpack(info)
-    except (OSError, struct.error):
+    info = _tcp_info(descriptor, _RECEIVE_WINDOW)
+    if info is None:
         return False
-    return bool(window_bytes - unread >= segment_bytes)
+    segment_bytes, window_bytes = info
+    return window_bytes - unread >= segment_bytes
 
 
 def undelivered_bytes(descriptor: int) -> int:
@@ -76,18 +84,14 @@
     return count[0]
 
 
-# Of struct tcp_info (linux/tcp.h): how long ago bytes were last received (ms).
+# Of struct tcp_info: how long ago bytes were last received (ms).
 _LAST_DATA_RECEIVED = struct.Struct("=52xI")
 
 
 def unread_age_s(descriptor: int) -> float:
     """Return how long ago the system received the last bytes of a socket; 0 where it does not tell."""
-    try:
-        with borrowed_socket(descriptor) as sock:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_DATA_RECEIVED.size)
-        return float(_LAST_DATA_RECEIVED.unpack(info)[0]) / MS_PER_S
-    except (OSError, struct.error):
-        return 0.0
+    info = _tcp_info(descriptor, _LAST_DATA_RECEIVED)
+    return 0.0 if info is None else info[0] / MS_PER_S
 
 
 # Of struct tcp_info: the receive window that the peer announced last (bytes), since Linux 5.4.
@@ -98,12 +102,8 @@
 
 def peer_window_bytes(descriptor: int) -> int:
     """Return how much a socket's peer would take now; the default where the system does not tell."""
-    try:
-        with borrowed_socket(descriptor) as sock:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SEND_WINDOW.size)
-        return int(_SEND_WINDOW.unpack(info)[0])
-    except (OSError, struct.error):
-        return DEFAULT_WINDOW_BYTES
+    info = _tcp_info(descriptor, _SEND_WINDOW)
+    return DEFAULT_WINDOW_BYTES if info is None else info[0]
 
 
 # Of struct linger (sys/socket.h): whether a close waits, and for how long (s).
--- a/badgercart/upstream/response_deadline.py
+++ b/badgercart/upstream/response_deadline.py
@@ -79,12 +79,14 @@
             return
         has_length = connection.exchange.body_length is not None
         stops_at_ms = connection.progress.stops_at_ms(client_time_ms(attempt), has_length)
-        if now < stops_at_ms < math.inf:
+        if stops_at_ms == math.inf:
+            return
+        if now < stops_at_ms:
             attempt.past_deadline = False
             self._check_at(attempt, stops_at_ms)
-        elif stops_at_ms < math.inf and not attempt.past_deadline:
+        elif not attempt.past_deadline:
             attempt.past_deadline = True
             self._check_at(attempt, now + FINAL_READ_DELAY_S * MS_PER_S)
-        elif stops_at_ms < math.inf:
+        else:
             log_stopped(connection, attempt)
             self._end_stream(attempt)
--- a/badgercart/upstream/server_connection.py
+++ b/badgercart/upstream/server_connection.py
@@ -60,12 +60,12 @@
     connection: ServerConnection | None = None
 
 
-def remaining_ms(attempt: Attempt, now_ms: float) -> float:
+def remaining_ms(attempt: Attempt) -> float:
     """Return how much time an attempt has left, at least; its client's time may have started."""
     if math.isfinite(attempt.deadline_ms):
-        return attempt.deadline_ms - now_ms
+        return attempt.deadline_ms - now_ms()
     assert attempt.upload is not None
-    return attempt.timeout_ms - max(0.0, now_ms - attempt.upload.written_after_ms)
+    return attempt.timeout_ms - max(0.0, now_ms() - attempt.upload.written_after_ms)
 
 
 @dataclass(slots=True, eq=False)
@@ -161,7 +161,7 @@
         )
         self.exchange.message_limit_bytes = self.pool.message_limit_bytes
         self.progress.reset()
-        self.output.write(self.exchange.start_request(request, remaining_ms(attempt, now_ms())))
+        self.output.write(self.exchange.start_request(request, remaining_ms(attempt)))
         if request.upload is not None:
             self.last_progress_ms = now_ms()
             request.upload.on_data = self.forward_upload
